--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: test lint build bench
+
+# Packages that run concurrently are tested under the race detector.
+test:
+	go test -race ./...
+
+lint:
+	test -z "$$(go tool gofumpt -l .)"
+	go vet ./...
+	go tool revive -config revive.toml -set_exit_status ./...
+
+build:
+	go build -o bin/ ./cmd/...
+
+bench:
+	go test -run '^$$' -bench . -benchtime 2s ./...
--- /dev/null
+++ b/internal/rosedaemon/backend.go
@@ -0,0 +1,127 @@
+// Package rosedaemon puts the parts of a proxy together: what serves callers,
+// what follows the groups, and what the operators look at.
+package rosedaemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
+	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
+	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
+)
+
+// trimInterval separates looks at connections that have been idle for long.
+const trimInterval = 30 * time.Second
+
+// backend is everything that serves one database.
+type backend struct {
+	database rosebundle.Database
+	group    *rosegroup.Controller
+	pools    map[rosemary.TargetID]*rosepool.Pool
+	queues   map[rosemary.TargetID]*roseadmit.Queue
+	router   *roseroute.Router
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// newBackend builds and starts what serves a database.
+func (d *Daemon) newBackend(database rosebundle.Database) *backend {
+	group := database.Group()
+	b := &backend{
+		database: database,
+		pools:    make(map[rosemary.TargetID]*rosepool.Pool),
+		queues:   make(map[rosemary.TargetID]*roseadmit.Queue),
+	}
+	controls := make(map[rosemary.TargetID]rosemary.TargetControl)
+	share := d.share(group)
+	for _, t := range group.Targets {
+		config := rosepool.Config{
+			Target:      t,
+			Dialer:      d.config.Dialer,
+			Credentials: d.credentials(group.Database),
+			Limit:       share,
+		}
+		b.pools[t.ID] = rosepool.NewPool(config)
+		b.queues[t.ID] = roseadmit.NewQueue(roseadmit.Config{
+			MaxInFlight:     share,
+			FirstInFirstOut: d.config.Baseline.FirstInFirstOut,
+		})
+		controls[t.ID] = rosepool.NewControl(config)
+	}
+	b.group = rosegroup.NewController(rosegroup.Config{
+		Group:    group,
+		Controls: controls,
+		OnChange: func(change rosegroup.Change) { d.groupChanged(b, change) },
+	})
+	b.router = roseroute.NewRouter(roseroute.Config{
+		Group:        b.group,
+		Zone:         d.config.Zone,
+		Pools:        b.pools,
+		Queues:       b.queues,
+		Leaving:      d.leaving,
+		PrimaryReads: d.config.Baseline.PrimaryReads,
+	})
+	b.start()
+	return b
+}
+
+func (b *backend) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	b.done.Go(func() { _ = b.group.Run(ctx) })
+	b.done.Go(func() { b.trim(ctx) })
+}
+
+func (b *backend) trim(ctx context.Context) {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			for _, p := range b.pools {
+				p.Trim()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// close stops following the group. Connections in use are closed when they
+// are released.
+func (b *backend) close() {
+	b.cancel()
+	b.done.Wait()
+	for _, p := range b.pools {
+		p.Close()
+	}
+}
+
+// groupChanged reacts to a change at once: connections to a target that went
+// down or lost its role are not used again.
+func (d *Daemon) groupChanged(b *backend, change rosegroup.Change) {
+	if change.Down != "" {
+		klog.InfoS("target down", "proxy", d.config.Name, "database", change.Database, "target", change.Down)
+		b.pools[change.Down].Invalidate()
+		return
+	}
+	klog.InfoS("primary changed", "proxy", d.config.Name, "database", change.Database, "primary", change.Primary, "term", change.Term)
+}
+
+// share returns the number of connections that this proxy may open to one
+// target: an equal part of what remains beside the control connections.
+func (d *Daemon) share(group rosemary.Group) int {
+	proxies := max(d.config.Proxies, 1)
+	return max((group.Connections-proxies)/proxies, 1)
+}
+
+func (d *Daemon) credentials(database string) rosepool.Credentials {
+	return rosepool.Credentials{User: d.config.TargetUser, Password: d.config.TargetPassword, Database: database}
+}
--- /dev/null
+++ b/internal/rosedaemon/daemon.go
@@ -0,0 +1,174 @@
+package rosedaemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosefront"
+	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
+)
+
+// Baseline replaces policies by simple ones, to compare with.
+type Baseline struct {
+	// PrimaryReads sends every read to the primary.
+	PrimaryReads bool
+	// FirstInFirstOut serves requests in the order of their arrival.
+	FirstInFirstOut bool
+	// AcknowledgeOnPrimary answers a write on the primary's word alone.
+	AcknowledgeOnPrimary bool
+}
+
+// Config sets up a Daemon.
+type Config struct {
+	Name rosemary.ProxyID
+	Zone rosemary.Zone
+	// Proxies is the number of proxies that share the targets' connections.
+	Proxies        int
+	Dialer         rosemary.Dialer
+	Keys           *rosesession.Keys
+	TLS            *tls.Config
+	RequireTLS     bool
+	MaxCallers     int
+	TargetUser     string
+	TargetPassword string
+	Baseline       Baseline
+}
+
+// Daemon is one proxy.
+type Daemon struct {
+	config Config
+	front  *rosefront.Server
+
+	mu       sync.RWMutex
+	content  *rosebundle.Content
+	backends map[string]*backend
+}
+
+// New returns a daemon that serves nothing until Apply and Serve.
+func New(config Config) *Daemon {
+	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend)}
+	d.front = rosefront.NewServer(rosefront.Config{
+		Directory:            d,
+		Keys:                 config.Keys,
+		TLS:                  config.TLS,
+		RequireTLS:           config.RequireTLS,
+		MaxCallers:           config.MaxCallers,
+		AcknowledgeOnPrimary: config.Baseline.AcknowledgeOnPrimary,
+	})
+	return d
+}
+
+// Apply brings content into force. Databases whose targets didn't change keep
+// their connections.
+func (d *Daemon) Apply(content *rosebundle.Content) {
+	wanted := make(map[string]rosebundle.Database)
+	for _, database := range content.Databases {
+		wanted[database.Name] = database
+	}
+	d.mu.Lock()
+	d.content = content
+	var gone []*backend
+	for name, b := range d.backends {
+		if next, kept := wanted[name]; !kept || !sameGroup(b.database, next) {
+			gone = append(gone, b)
+			delete(d.backends, name)
+		}
+	}
+	for name, database := range wanted {
+		if d.backends[name] == nil {
+			d.backends[name] = d.newBackend(database)
+		}
+	}
+	d.mu.Unlock()
+	for _, b := range gone {
+		b.close()
+	}
+}
+
+// sameGroup reports whether a change leaves a database's connections valid.
+func sameGroup(a, b rosebundle.Database) bool {
+	if a.Slots != b.Slots || a.Connections != b.Connections || len(a.Targets) != len(b.Targets) {
+		return false
+	}
+	for i, t := range a.Targets {
+		t.Leaving = b.Targets[i].Leaving
+		if t != b.Targets[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Tenant returns the tenant of that name.
+func (d *Daemon) Tenant(name string) (rosemary.Tenant, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.content.Tenant(name)
+}
+
+// Class returns the class of that name.
+func (d *Daemon) Class(name string) (rosemary.Class, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.content.Class(name)
+}
+
+// Router returns the router of a database.
+func (d *Daemon) Router(database string) (*roseroute.Router, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	b, found := d.backends[database]
+	if !found {
+		return nil, false
+	}
+	return b.router, true
+}
+
+func (d *Daemon) leaving(id rosemary.TargetID) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.content.Leaving(id)
+}
+
+// Serve accepts callers from listener until it is closed.
+func (d *Daemon) Serve(listener net.Listener) error {
+	return d.front.Serve(listener)
+}
+
+// Ready reports whether a new caller would be served.
+func (d *Daemon) Ready() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return !d.front.Draining() && len(d.backends) > 0
+}
+
+// Drain ends the sessions at transaction borders. Nothing in flight is cut
+// off while ctx lasts.
+func (d *Daemon) Drain(ctx context.Context) error {
+	started := time.Now()
+	klog.InfoS("drain begins", "proxy", d.config.Name, "callers", d.front.Callers())
+	err := d.front.Drain(ctx)
+	klog.InfoS("drain ended", "proxy", d.config.Name, "took", time.Since(started), "left", d.front.Callers())
+	return trace.Wrap(err)
+}
+
+// Close ends everything at once.
+func (d *Daemon) Close() {
+	d.front.Kill()
+	d.mu.Lock()
+	backends := d.backends
+	d.backends = make(map[string]*backend)
+	d.mu.Unlock()
+	for _, b := range backends {
+		b.close()
+	}
+}
--- /dev/null
+++ b/internal/rosefront/batch.go
@@ -0,0 +1,81 @@
+package rosefront
+
+import "github.com/jackc/pgx/v5/pgproto3"
+
+// batch is what a caller sends up to the point where it waits for an answer:
+// one simple query, or extended messages up to Sync or Flush.
+type batch struct {
+	messages []pgproto3.FrontendMessage
+	simple   *pgproto3.Query
+	// flush is set when the caller waits without ending the request.
+	flush bool
+	// skipping is set after an error, until the caller's Sync.
+	skipping bool
+}
+
+// add takes a copy of a message, whose memory the backend uses again. It
+// reports whether the batch is complete.
+func (b *batch) add(message pgproto3.FrontendMessage) bool {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		query := *m
+		b.simple = &query
+		b.messages = append(b.messages, b.simple)
+		return true
+	case *pgproto3.Sync:
+		b.messages = append(b.messages, &pgproto3.Sync{})
+		return true
+	case *pgproto3.Flush:
+		b.flush = true
+		return true
+	case *pgproto3.Parse:
+		parse := *m
+		parse.ParameterOIDs = append([]uint32(nil), m.ParameterOIDs...)
+		b.messages = append(b.messages, &parse)
+	case *pgproto3.Bind:
+		b.messages = append(b.messages, copyBind(m))
+	case *pgproto3.Describe:
+		describe := *m
+		b.messages = append(b.messages, &describe)
+	case *pgproto3.Execute:
+		execute := *m
+		b.messages = append(b.messages, &execute)
+	case *pgproto3.Close:
+		closing := *m
+		b.messages = append(b.messages, &closing)
+	default:
+		b.messages = append(b.messages, message)
+	}
+	return false
+}
+
+func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
+	bind := *m
+	bind.ParameterFormatCodes = append([]int16(nil), m.ParameterFormatCodes...)
+	bind.ResultFormatCodes = append([]int16(nil), m.ResultFormatCodes...)
+	bind.Parameters = make([][]byte, len(m.Parameters))
+	for i, p := range m.Parameters {
+		if p != nil {
+			bind.Parameters[i] = append([]byte{}, p...)
+		}
+	}
+	return &bind
+}
+
+// dropped reports whether the batch is to be passed over because an earlier
+// part of the caller's request failed. The caller's Sync ends that.
+func (b *batch) dropped() bool {
+	if !b.skipping {
+		return false
+	}
+	if len(b.messages) == 0 {
+		return true
+	}
+	last := b.messages[len(b.messages)-1]
+	if _, synced := last.(*pgproto3.Sync); !synced {
+		return true
+	}
+	b.messages = b.messages[len(b.messages)-1:]
+	b.skipping = false
+	return false
+}
--- /dev/null
+++ b/internal/rosefront/filter_confirm.go
@@ -0,0 +1,51 @@
+package rosefront
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// confirmFilter answers a write only once a quorum of targets holds it.
+func confirmFilter(s *Server, next handler) handler {
+	return func(ctx context.Context, r *request) error {
+		if err := next(ctx, r); err != nil {
+			return err
+		}
+		if !r.committed.IsZero() {
+			if err := s.confirm(ctx, r); err != nil {
+				return err
+			}
+		}
+		if r.ends() {
+			r.ready()
+		}
+		return nil
+	}
+}
+
+func (s *Server) confirm(ctx context.Context, r *request) error {
+	c := r.caller
+	started := time.Now()
+	before := c.session
+	c.session = c.session.WithFloor(r.committed)
+	if s.config.AcknowledgeOnPrimary {
+		return nil
+	}
+	fate, err := c.router.Group().Confirm(ctx, r.committed)
+	s.config.Metrics.observeConfirm(c.tenant.Name, time.Since(started))
+	switch {
+	case err != nil:
+		return &rosemary.Refusal{
+			Kind:    rosemary.KindUnconfirmed,
+			Outcome: rosemary.OutcomeUnknown,
+			Message: "the write reached the primary but was not confirmed before the deadline",
+			Remedy:  "ask with rosemary.outcome(request), or read the row from the primary",
+		}
+	case fate == rosemary.FateLost:
+		c.session = before
+		return refuse(rosemary.KindUnconfirmed, "the primary was replaced before the write was confirmed, and the write is gone", "retry")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rosefront/filter_local.go
@@ -0,0 +1,185 @@
+package rosefront
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosestatement"
+)
+
+// localFilter answers statements about the session itself, which no target
+// needs to see.
+func localFilter(_ *Server, next handler) handler {
+	return func(ctx context.Context, r *request) error {
+		if r.caller.blockFailed {
+			return r.inFailedBlock()
+		}
+		if !r.all(rosestatement.KindProxySet, rosestatement.KindProxyShow, rosestatement.KindSessionSet,
+			rosestatement.KindReset, rosestatement.KindDiscard, rosestatement.KindDeallocate) {
+			if r.has(rosestatement.KindProxySet) || r.has(rosestatement.KindSessionSet) || r.has(rosestatement.KindDiscard) {
+				return refuse(rosemary.KindUnsupported, "SET and other statements in one message", "send SET in a message of its own")
+			}
+			return next(ctx, r)
+		}
+		r.served = "proxy"
+		if err := r.answerLocally(); err != nil {
+			return err
+		}
+		if r.ends() {
+			r.ready()
+		}
+		return nil
+	}
+}
+
+// inFailedBlock serves a caller whose transaction was lost with its
+// connection: only its end is accepted, as the database would do.
+func (r *request) inFailedBlock() error {
+	if !r.all(rosestatement.KindEnd) {
+		if len(r.statements) == 0 {
+			r.ready()
+			return nil
+		}
+		return &rosemary.Refusal{
+			Kind:    rosemary.KindConnection,
+			Outcome: rosemary.OutcomeNotRun,
+			Message: "the transaction was lost with its connection and rolled back",
+			Remedy:  "send ROLLBACK and run the transaction again",
+		}
+	}
+	r.caller.blockFailed = false
+	r.served = "proxy"
+	for _, message := range r.batch.messages {
+		if err := r.localMessage(message, "ROLLBACK", nil); err != nil {
+			return err
+		}
+	}
+	r.ready()
+	return nil
+}
+
+// answerLocally runs the statements in order.
+func (r *request) answerLocally() error {
+	if r.batch.simple != nil {
+		for _, s := range r.statements {
+			tag, shown, err := r.caller.runLocally(s)
+			if err != nil {
+				return err
+			}
+			if shown != nil {
+				r.answer.send(shownDescription(shown.name))
+			}
+			r.sendShown(tag, shown)
+		}
+		return nil
+	}
+	for _, message := range r.batch.messages {
+		if err := r.localMessage(message, "", r.statements); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// localMessage answers one message. With a tag, statements are answered by
+// that tag alone.
+func (r *request) localMessage(message pgproto3.FrontendMessage, tag string, statements []rosestatement.Statement) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		r.answer.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	case *pgproto3.Parse:
+		r.answer.send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		r.answer.send(&pgproto3.BindComplete{})
+	case *pgproto3.Close:
+		delete(r.caller.prepared, m.Name)
+		r.answer.send(&pgproto3.CloseComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			r.answer.send(&pgproto3.ParameterDescription{})
+		}
+		if len(statements) > 0 && statements[0].Kind() == rosestatement.KindProxyShow {
+			r.answer.send(shownDescription(statements[0].Setting()))
+			return nil
+		}
+		r.answer.send(&pgproto3.NoData{})
+	case *pgproto3.Execute:
+		if len(statements) == 0 {
+			r.answer.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+			return nil
+		}
+		done, shown, err := r.caller.runLocally(statements[0])
+		if err != nil {
+			return err
+		}
+		r.sendShown(done, shown)
+	}
+	return nil
+}
+
+// shownSetting is the answer of a SHOW.
+type shownSetting struct {
+	name  string
+	value string
+}
+
+func (r *request) sendShown(tag string, shown *shownSetting) {
+	if shown != nil {
+		r.answer.send(&pgproto3.DataRow{Values: [][]byte{[]byte(shown.value)}})
+	}
+	r.answer.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+func shownDescription(name string) *pgproto3.RowDescription {
+	const oidText = 25
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte(name), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1},
+	}}
+}
+
+// runLocally runs one statement and returns its tag.
+func (c *caller) runLocally(s rosestatement.Statement) (string, *shownSetting, error) {
+	switch s.Kind() {
+	case rosestatement.KindProxyShow:
+		value, err := c.show(s.Setting())
+		return "SHOW", &shownSetting{name: s.Setting(), value: value}, err
+	case rosestatement.KindReset:
+		return "RESET", nil, c.reset(s.Setting())
+	case rosestatement.KindDiscard:
+		clear(c.settings)
+		clear(c.prepared)
+		return "DISCARD ALL", nil, nil
+	case rosestatement.KindDeallocate:
+		return "DEALLOCATE", nil, c.deallocate(s)
+	}
+	return "SET", nil, c.set(s.Setting(), s.Value)
+}
+
+func (c *caller) reset(name string) error {
+	switch name {
+	case "all":
+		clear(c.settings)
+	case settingClass:
+		c.class = ""
+	case settingRequest:
+		c.requestID = ""
+	default:
+		delete(c.settings, name)
+	}
+	return nil
+}
+
+func (c *caller) deallocate(s rosestatement.Statement) error {
+	name := s.Word(1)
+	if name == "prepare" {
+		name = s.Word(2)
+	}
+	if name == "all" {
+		clear(c.prepared)
+		return nil
+	}
+	delete(c.prepared, name)
+	return nil
+}
--- /dev/null
+++ b/internal/rosefront/handshake.go
@@ -0,0 +1,203 @@
+package rosefront
+
+import (
+	"crypto/tls"
+	"encoding/binary"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
+)
+
+// Startup parameters of the proxy, which callers may also pass in options.
+const (
+	settingToken   = "rosemary.token"
+	settingSession = "rosemary.session"
+	settingClass   = "rosemary.class"
+	settingRequest = "rosemary.request"
+)
+
+// handshake answers everything up to the first request. It returns no caller
+// when the connection has served its purpose.
+func (s *Server) handshake(conn net.Conn, full bool) (*caller, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	encrypted := false
+	for {
+		backend := pgproto3.NewBackend(conn, conn)
+		backend.SetMaxBodyLen(s.config.MaxMessageBytes)
+		message, err := backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, trace.Wrap(err, "startup message")
+		}
+		switch m := message.(type) {
+		case *pgproto3.GSSEncRequest:
+			if _, err := conn.Write([]byte("N")); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		case *pgproto3.SSLRequest:
+			if encrypted {
+				return nil, trace.BadParameter("a second request for encryption")
+			}
+			if conn, err = s.startTLS(conn); err != nil {
+				return nil, err
+			}
+			_, encrypted = conn.(*tls.Conn)
+		case *pgproto3.CancelRequest:
+			s.cancelRequest(m)
+			return nil, nil
+		case *pgproto3.StartupMessage:
+			return s.startup(conn, backend, m, full, encrypted)
+		}
+	}
+}
+
+func (s *Server) startTLS(conn net.Conn) (net.Conn, error) {
+	if s.config.TLS == nil {
+		_, err := conn.Write([]byte("N"))
+		return conn, trace.Wrap(err)
+	}
+	if _, err := conn.Write([]byte("S")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	encrypted := tls.Server(conn, s.config.TLS)
+	if err := encrypted.Handshake(); err != nil {
+		return nil, trace.ConnectionProblem(err, "TLS handshake")
+	}
+	return encrypted, nil
+}
+
+func (s *Server) cancelRequest(m *pgproto3.CancelRequest) {
+	if len(m.SecretKey) != 4 {
+		return
+	}
+	secret := binary.BigEndian.Uint32(m.SecretKey)
+	if !s.Cancel(m.ProcessID, secret) && s.config.ForwardCancel != nil {
+		s.config.ForwardCancel(m.ProcessID, secret)
+	}
+}
+
+func (s *Server) startup(conn net.Conn, backend *pgproto3.Backend, m *pgproto3.StartupMessage, full, encrypted bool) (*caller, error) {
+	c, err := s.admit(conn, backend, m, full, encrypted)
+	if err != nil {
+		refusal := rosemary.AsRefusal(err, rosemary.OutcomeNotRun)
+		backend.Send(errorResponse(refusal, "FATAL"))
+		_ = backend.Flush()
+		return nil, err
+	}
+	s.register(c)
+	c.greet()
+	if err := c.flush(); err != nil {
+		s.forget(c)
+		return nil, trace.Wrap(err)
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return c, nil
+}
+
+// admit checks who calls and opens the session. The error is a
+// *rosemary.Refusal, or that of the connection.
+func (s *Server) admit(conn net.Conn, backend *pgproto3.Backend, m *pgproto3.StartupMessage, full, encrypted bool) (*caller, error) {
+	if err := s.mayEnter(full, encrypted); err != nil {
+		return nil, err
+	}
+	tenant, err := s.authenticate(backend, m.Parameters["user"])
+	if err != nil {
+		return nil, err
+	}
+	database := m.Parameters["database"]
+	if database == "" {
+		database = tenant.Name
+	}
+	router, found := s.config.Directory.Router(database)
+	if !found || !allows(tenant, database) {
+		return nil, refuse(rosemary.KindDatabase, "database "+quote(database)+" is unknown or not open to "+quote(tenant.Name),
+			"check the database name and the tenant's Databases")
+	}
+	c := newCaller(s, conn, backend, tenant, router, rosesession.NewSession(tenant.Name, database))
+	given := startupSettings(m.Parameters)
+	// The order puts the session's name before its token.
+	for _, name := range slices.Sorted(maps.Keys(given)) {
+		if err := c.set(name, given[name]); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (s *Server) mayEnter(full, encrypted bool) error {
+	switch {
+	case s.Draining():
+		return refuse(rosemary.KindDraining, "this proxy is shutting down", "connect again; the balancer has others")
+	case full:
+		return refuse(rosemary.KindOverloaded, "this proxy has no place for another caller", "connect again later")
+	case s.config.RequireTLS && !encrypted:
+		return refuse(rosemary.KindAuth, "this proxy accepts encrypted connections only", "connect with sslmode=require")
+	}
+	return nil
+}
+
+func allows(tenant rosemary.Tenant, database string) bool {
+	for _, d := range tenant.Databases {
+		if d == database || d == "*" {
+			return true
+		}
+	}
+	return false
+}
+
+// startupSettings returns the proxy's settings given at startup, directly or
+// as "-c name=value" in options.
+func startupSettings(parameters map[string]string) map[string]string {
+	settings := make(map[string]string)
+	fields := strings.Fields(parameters["options"])
+	for i, f := range fields {
+		pair, inline := strings.CutPrefix(f, "-c")
+		if !inline {
+			pair, inline = strings.CutPrefix(f, "--")
+		}
+		if pair == "" && i+1 < len(fields) {
+			pair = fields[i+1]
+		}
+		name, value, found := strings.Cut(pair, "=")
+		if inline && found {
+			settings[strings.ToLower(name)] = value
+		}
+	}
+	for name, value := range parameters {
+		settings[strings.ToLower(name)] = value
+	}
+	for name := range settings {
+		if !startupSetting(name) {
+			delete(settings, name)
+		}
+	}
+	return settings
+}
+
+func startupSetting(name string) bool {
+	return strings.HasPrefix(name, "rosemary.") || trackedSettings[name]
+}
+
+func quote(text string) string { return `"` + text + `"` }
+
+func refuse(kind rosemary.Kind, message, remedy string) *rosemary.Refusal {
+	return &rosemary.Refusal{Kind: kind, Outcome: rosemary.OutcomeNotRun, Message: message, Remedy: remedy}
+}
+
+func errorResponse(r *rosemary.Refusal, severity string) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                r.SQLState(),
+		Message:             r.Message,
+		Detail:              string(r.Outcome),
+		Hint:                r.Hint(),
+	}
+}
--- /dev/null
+++ b/internal/rosefront/settings.go
@@ -0,0 +1,117 @@
+package rosefront
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// trackedSettings are the session settings that the proxy carries from one
+// target connection to the next.
+var trackedSettings = map[string]bool{
+	"application_name":                    true,
+	"client_encoding":                     true,
+	"client_min_messages":                 true,
+	"datestyle":                           true,
+	"extra_float_digits":                  true,
+	"idle_in_transaction_session_timeout": true,
+	"intervalstyle":                       true,
+	"lock_timeout":                        true,
+	"search_path":                         true,
+	"standard_conforming_strings":         true,
+	"statement_timeout":                   true,
+	"timezone":                            true,
+}
+
+// settings are a session's own values of tracked settings.
+type settings map[string]string
+
+// fingerprint tells whether a connection has the same settings applied.
+func (s settings) fingerprint() string {
+	if len(s) == 0 {
+		return ""
+	}
+	return s.script()
+}
+
+// script returns the SQL that gives a connection these settings.
+func (s settings) script() string {
+	names := make([]string, 0, len(s))
+	for name := range s {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	b.WriteString("RESET ALL")
+	for _, name := range names {
+		b.WriteString("; SET " + name + " = '" + strings.ReplaceAll(s[name], "'", "''") + "'")
+	}
+	return b.String()
+}
+
+// set changes one of the proxy's settings or a tracked one.
+func (c *caller) set(name, value string) error {
+	switch name {
+	case settingToken:
+		session, err := c.server.config.Keys.Open(value, c.tenant.Name, c.session.Database)
+		if err != nil {
+			return err
+		}
+		if session.Name == c.session.Name {
+			session = session.WithFloor(c.session.Floor)
+		}
+		c.session = session
+		return nil
+	case settingSession:
+		if value != c.session.Name {
+			c.session = c.session.WithName(value)
+		}
+		return nil
+	case settingClass:
+		return c.setClass(value)
+	case settingRequest:
+		c.requestID = value
+		return nil
+	}
+	if trackedSettings[name] {
+		c.settings[name] = value
+		return nil
+	}
+	if strings.HasPrefix(name, "rosemary.") {
+		return refuse(rosemary.KindUnsupported, "the proxy has no setting "+quote(name),
+			"use rosemary.token, rosemary.session, rosemary.class or rosemary.request")
+	}
+	return refuse(rosemary.KindUnsupported, "the session setting "+quote(name)+" can't follow the session to another connection",
+		"use SET LOCAL in a transaction, or set it for the role at the database")
+}
+
+func (c *caller) setClass(name string) error {
+	if name != "" && name != "default" {
+		if _, found := c.server.config.Directory.Class(name); !found {
+			return unknownClass(name)
+		}
+	}
+	c.class = name
+	return nil
+}
+
+func unknownClass(name string) error {
+	return refuse(rosemary.KindUnknownClass, "class "+quote(name)+" is not declared", "declare it in the bundle, or name one that is")
+}
+
+// show returns the value of one of the proxy's settings.
+func (c *caller) show(name string) (string, error) {
+	switch name {
+	case settingToken:
+		return c.server.config.Keys.Token(c.session), nil
+	case settingSession:
+		return c.session.Name, nil
+	case settingClass:
+		return c.class, nil
+	case settingRequest:
+		return c.requestID, nil
+	}
+	return "", refuse(rosemary.KindUnsupported, "the proxy has no setting "+quote(name),
+		"use rosemary.token, rosemary.session, rosemary.class or rosemary.request")
+}
--- /dev/null
+++ b/internal/rosenet/memory.go
@@ -0,0 +1,80 @@
+package rosenet
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+
+	"github.com/gravitational/trace"
+)
+
+// memoryListener accepts streams within the process.
+type memoryListener struct {
+	network *Network
+	address string
+	accept  chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
+
+func (n *Network) listenInMemory(place Place, address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if address == "" {
+		address = place.Name + ":" + strconv.Itoa(len(n.places)+1)
+	}
+	listener := &memoryListener{
+		network: n,
+		address: address,
+		accept:  make(chan net.Conn),
+		done:    make(chan struct{}),
+	}
+	n.places[address] = place
+	n.listeners[address] = listener
+	return listener
+}
+
+func (l *memoryListener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.accept <- far:
+		return near, nil
+	case <-l.done:
+		return nil, trace.ConnectionProblem(syscall.ECONNREFUSED, "connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept waits for the next stream.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accept:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further streams.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr returns the name that Dial takes.
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
--- /dev/null
+++ b/internal/rosestack/caller.go
@@ -0,0 +1,73 @@
+package rosestack
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+)
+
+// callerConnectTimeout bounds the opening of a caller's connection.
+const callerConnectTimeout = 5 * time.Second
+
+// CallerConfig tells who connects, and with what settings.
+type CallerConfig struct {
+	Tenant   string
+	Database string
+	// Settings are startup parameters, such as rosemary.token.
+	Settings map[string]string
+}
+
+// Connect opens a caller's connection to address with a driver's low-level
+// client. The error is that of the driver.
+func Connect(ctx context.Context, dialer *rosenet.Dialer, address string, caller CallerConfig) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	config.Host, config.Port = "proxy", 1
+	config.User = caller.Tenant
+	config.Database = caller.Database
+	config.RuntimeParams = caller.Settings
+	config.ConnectTimeout = callerConnectTimeout
+	config.LookupFunc = func(context.Context, string) ([]string, error) { return []string{"proxy"}, nil }
+	config.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return dialer.Dial(ctx, address)
+	}
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+// Query runs one statement by the simple protocol and returns the rows of its
+// last result. The error is that of the driver.
+func Query(ctx context.Context, conn *pgconn.PgConn, query string) ([][]string, error) {
+	results, err := conn.Exec(ctx, query).ReadAll()
+	if err != nil || len(results) == 0 {
+		return nil, err
+	}
+	var rows [][]string
+	for _, fields := range results[len(results)-1].Rows {
+		row := make([]string, len(fields))
+		for i, f := range fields {
+			row[i] = string(f)
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Number returns the first field of the first row as a number, or -1.
+func Number(rows [][]string) int {
+	if len(rows) == 0 || len(rows[0]) == 0 {
+		return -1
+	}
+	n, err := strconv.Atoi(rows[0][0])
+	if err != nil {
+		return -1
+	}
+	return n
+}
--- /dev/null
+++ b/internal/rosestack/stack.go
@@ -0,0 +1,225 @@
+package rosestack
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosedaemon"
+	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/internal/rosetarget"
+	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
+)
+
+// Config sets up a Stack.
+type Config struct {
+	Deployment Deployment
+	InMemory   bool
+	// Listen is where the first proxy listens; the others take the ports
+	// after it. Empty takes free ports.
+	Listen   string
+	Baseline rosedaemon.Baseline
+}
+
+// Stack is a running deployment.
+type Stack struct {
+	Config   Config
+	Network  *rosenet.Network
+	Clusters map[string]*rosetarget.Cluster
+	Proxies  []*Proxy
+	Content  *rosebundle.Content
+	keys     *rosesession.Keys
+}
+
+// Proxy is one running proxy of the stack.
+type Proxy struct {
+	Name     string
+	Zone     string
+	Address  string
+	Daemon   *rosedaemon.Daemon
+	listener net.Listener
+	tasks    sync.WaitGroup
+}
+
+// startTimeout bounds the wait for a stack to serve.
+const startTimeout = 20 * time.Second
+
+// Start starts targets and proxies, and fills the tables.
+func Start(ctx context.Context, config Config) (*Stack, error) {
+	deployment := config.Deployment
+	s := &Stack{
+		Config:   config,
+		Network:  rosenet.NewNetwork(rosenet.Config{Delay: deployment.delay, InMemory: config.InMemory}),
+		Clusters: make(map[string]*rosetarget.Cluster),
+	}
+	keys, err := rosesession.NewKeys([]byte("demonstration key, not a secret"))
+	if err != nil {
+		return nil, err
+	}
+	s.keys = keys
+	if err := s.startTargets(); err != nil {
+		return nil, err
+	}
+	s.Content = s.content()
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, name := range deployment.Databases {
+		if err := s.fill(ctx, name); err != nil {
+			return nil, err
+		}
+	}
+	for i := range deployment.Proxies {
+		if _, err := s.StartProxy(i); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *Stack) startTargets() error {
+	d := s.Config.Deployment
+	for i, name := range d.Databases {
+		var configs []rosetarget.Config
+		for j := range d.Zones {
+			configs = append(configs, rosetarget.Config{
+				ID:          rosemary.TargetID(fmt.Sprintf("%s-%d", name, j+1)),
+				Zone:        rosemary.Zone(d.Zones[(i+j)%len(d.Zones)]),
+				Slots:       d.Slots,
+				Connections: d.Connections,
+				ConnectTime: d.ConnectTime,
+				ReadTime:    d.ReadTime,
+				WriteTime:   d.WriteTime,
+			})
+		}
+		cluster := rosetarget.NewCluster(s.Network, configs)
+		s.Clusters[name] = cluster
+		for _, c := range configs {
+			if err := cluster.Target(c.ID).Start(); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+// content returns the configuration that the proxies start with.
+func (s *Stack) content() *rosebundle.Content {
+	d := s.Config.Deployment
+	content := &rosebundle.Content{Classes: d.Classes, Tenants: d.Tenants}
+	for i, name := range d.Databases {
+		database := rosebundle.Database{Name: name, Slots: d.Slots, Connections: d.Connections}
+		for j := range d.Zones {
+			id := fmt.Sprintf("%s-%d", name, j+1)
+			database.Targets = append(database.Targets, rosebundle.Target{
+				ID:      id,
+				Address: s.Clusters[name].Target(rosemary.TargetID(id)).Address(),
+				Zone:    d.Zones[(i+j)%len(d.Zones)],
+			})
+		}
+		content.Databases = append(content.Databases, database)
+	}
+	return content
+}
+
+// fill makes the tables of one database.
+func (s *Stack) fill(ctx context.Context, name string) error {
+	d := s.Config.Deployment
+	id := rosemary.TargetID(name + "-1")
+	target := rosemary.Target{ID: id, Address: s.Clusters[name].Target(id).Address()}
+	dialer := s.Network.Dialer(rosenet.Place{Name: "setup", Zone: d.Zones[0]})
+	conn, err := rosepool.Open(ctx, dialer, target, rosepool.Credentials{User: "setup", Database: name})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer conn.Close()
+	for _, statement := range append(append([]string{}, d.Schema...), d.Seed...) {
+		if _, err := conn.Query(ctx, statement); err != nil {
+			return trace.Wrap(err, "fill %s", name)
+		}
+	}
+	return nil
+}
+
+// StartProxy starts proxy i, again if it ran before.
+func (s *Stack) StartProxy(i int) (*Proxy, error) {
+	d := s.Config.Deployment
+	p := &Proxy{Name: fmt.Sprintf("proxy-%d", i+1), Zone: d.Zones[i%len(d.Zones)]}
+	place := rosenet.Place{Name: p.Name, Zone: p.Zone}
+	p.Daemon = rosedaemon.New(rosedaemon.Config{
+		Name:       rosemary.ProxyID(p.Name),
+		Zone:       rosemary.Zone(p.Zone),
+		Proxies:    d.Proxies,
+		Dialer:     s.Network.Dialer(place),
+		Keys:       s.keys,
+		TargetUser: "rosemary",
+		Baseline:   s.Config.Baseline,
+	})
+	listener, err := s.Network.Listen(place, s.listenAddress(i))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.listener = listener
+	p.Address = listener.Addr().String()
+	p.Daemon.Apply(s.Content)
+	p.tasks.Go(func() { _ = p.Daemon.Serve(listener) })
+	if i < len(s.Proxies) {
+		s.Proxies[i] = p
+	} else {
+		s.Proxies = append(s.Proxies, p)
+	}
+	return p, nil
+}
+
+func (s *Stack) listenAddress(i int) string {
+	if i < len(s.Proxies) {
+		return s.Proxies[i].Address
+	}
+	if s.Config.Listen == "" {
+		return ""
+	}
+	address, err := net.ResolveTCPAddr("tcp", s.Config.Listen)
+	if err != nil || address.Port == 0 {
+		return s.Config.Listen
+	}
+	address.Port += i
+	return address.String()
+}
+
+// Kill ends the proxy at once, as the death of its VM would.
+func (p *Proxy) Kill() {
+	p.listener.Close()
+	p.Daemon.Close()
+	p.tasks.Wait()
+}
+
+// Drain shuts the proxy down gracefully.
+func (p *Proxy) Drain(ctx context.Context) error {
+	p.listener.Close()
+	err := p.Daemon.Drain(ctx)
+	p.Daemon.Close()
+	p.tasks.Wait()
+	return err
+}
+
+// Close ends the stack.
+func (s *Stack) Close() {
+	for _, p := range s.Proxies {
+		p.Kill()
+	}
+	for _, c := range s.Clusters {
+		c.Close()
+	}
+	s.Network.Close()
+}
+
+// CallerDialer returns a dialer for a caller of that name.
+func (s *Stack) CallerDialer(name string) *rosenet.Dialer {
+	return s.Network.Dialer(rosenet.Place{Name: name, Zone: CallerZone})
+}
--- /dev/null
+++ b/internal/rosestack/stack_test.go
@@ -0,0 +1,87 @@
+package rosestack_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosestack"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// startStack starts a deployment in memory, on the test's clock.
+func startStack(c *qt.C, name string) *rosestack.Stack {
+	deployment, err := rosestack.FindDeployment(name)
+	c.Assert(err, qt.IsNil)
+	stack, err := rosestack.Start(context.Background(), rosestack.Config{Deployment: deployment, InMemory: true})
+	c.Assert(err, qt.IsNil)
+	time.Sleep(time.Second)
+	return stack
+}
+
+// connect opens a caller's connection to proxy i.
+func connect(c *qt.C, stack *rosestack.Stack, i int, settings map[string]string) *pgconn.PgConn {
+	conn, err := rosestack.Connect(context.Background(), stack.CallerDialer("caller"), stack.Proxies[i].Address, rosestack.CallerConfig{
+		Tenant:   stack.Content.Tenants[0].Name,
+		Database: stack.Content.Databases[0].Name,
+		Settings: settings,
+	})
+	c.Assert(err, qt.IsNil)
+	return conn
+}
+
+func query(c *qt.C, conn *pgconn.PgConn, text string) [][]string {
+	rows, err := rosestack.Query(context.Background(), conn, text)
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", text))
+	return rows
+}
+
+func TestReadYourWritesOnAnotherProxy(t *testing.T) {
+	for _, way := range []string{"token", "name"} {
+		t.Run(way, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				stack := startStack(c, "costa-rica")
+				defer stack.Close()
+				cluster := stack.Clusters["licencias1"]
+				cluster.Target("licencias1-2").SetLag(700 * time.Millisecond)
+				first := connect(c, stack, 0, nil)
+				query(c, first, "UPDATE licences SET version = 41 WHERE id = 7")
+				settings := map[string]string{"rosemary.class": "lookup"}
+				if way == "token" {
+					settings["rosemary.token"] = first.ParameterStatus("rosemary.token")
+				} else {
+					settings["rosemary.session"] = first.ParameterStatus("rosemary.session")
+				}
+				first.Close(context.Background())
+				for i := 1; i < len(stack.Proxies); i++ {
+					second := connect(c, stack, i, settings)
+					rows := query(c, second, "SELECT version FROM licences WHERE id = 7")
+					c.Check(rows, qt.DeepEquals, [][]string{{"41"}})
+					second.Close(context.Background())
+				}
+			})
+		})
+	}
+}
+
+func TestWriteWaitsForAQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stack := startStack(c, "guatemala")
+		defer stack.Close()
+		cluster := stack.Clusters["carreras1"]
+		for _, id := range []string{"carreras1-2", "carreras1-3"} {
+			cluster.Target(rosemary.TargetID(id)).SetLag(2 * time.Second)
+		}
+		conn := connect(c, stack, 0, nil)
+		defer conn.Close(context.Background())
+		started := time.Now()
+		query(c, conn, "UPDATE entries SET version = 1 WHERE id = 'seed-1'")
+		c.Check(time.Since(started) >= 2*time.Second, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/pkg/rosebundle/content.go
@@ -0,0 +1,134 @@
+// Package rosebundle holds the operators' configuration: which databases,
+// targets, classes and tenants there are, who may change them, and the signed
+// versions by which a change comes into force.
+package rosebundle
+
+import (
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// Content is what a bundle says. It is read from TOML files and never changed
+// once it is in force.
+type Content struct {
+	Databases []Database
+	Classes   []Class
+	Tenants   []Tenant
+	Operators []Operator
+	// Signatures is the number of operators that must sign a change.
+	Signatures int
+}
+
+// Database is a group of targets.
+type Database struct {
+	Name string
+	// Slots is the number of statements that a target runs at once.
+	Slots int
+	// Connections is the number of connections that a target accepts.
+	Connections int
+	Targets     []Target
+}
+
+// Target is one server of a database.
+type Target struct {
+	ID      string
+	Address string
+	Zone    string
+	// Leaving takes the target out of service for new work.
+	Leaving bool
+}
+
+// Class declares a kind of statement.
+type Class struct {
+	Name       string
+	ReadOnly   bool
+	MaxAge     Duration
+	Idempotent bool
+	Deadline   Duration
+	Weight     int
+}
+
+// Tenant declares a customer.
+type Tenant struct {
+	Name      string
+	Weight    int
+	Databases []string
+	// Verifier is a SCRAM-SHA-256 verifier; Trust must be set without one.
+	Verifier string
+	Trust    bool
+}
+
+// Operator may sign changes.
+type Operator struct {
+	Name string
+	// PublicKey is an Ed25519 key in base64.
+	PublicKey string
+}
+
+// Duration is a time span that is written as "250ms" or "5s".
+type Duration time.Duration
+
+// UnmarshalText reads the form that time.ParseDuration takes.
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	*d = Duration(span)
+	return err
+}
+
+// MarshalText writes the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Group returns the group of a database.
+func (d Database) Group() rosemary.Group {
+	group := rosemary.Group{Database: d.Name, Slots: d.Slots, Connections: d.Connections}
+	for _, t := range d.Targets {
+		group.Targets = append(group.Targets, rosemary.Target{
+			ID:      rosemary.TargetID(t.ID),
+			Address: t.Address,
+			Zone:    rosemary.Zone(t.Zone),
+		})
+	}
+	return group
+}
+
+// Class returns the class of that name.
+func (c *Content) Class(name string) (rosemary.Class, bool) {
+	for _, class := range c.Classes {
+		if class.Name == name {
+			return rosemary.Class{
+				Name:       name,
+				ReadOnly:   class.ReadOnly,
+				MaxAge:     time.Duration(class.MaxAge),
+				Idempotent: class.Idempotent,
+				Deadline:   time.Duration(class.Deadline),
+				Weight:     class.Weight,
+			}, true
+		}
+	}
+	return rosemary.Class{}, false
+}
+
+// Tenant returns the tenant of that name.
+func (c *Content) Tenant(name string) (rosemary.Tenant, bool) {
+	for _, t := range c.Tenants {
+		if t.Name == name {
+			return rosemary.Tenant{Name: name, Weight: t.Weight, Databases: t.Databases, Verifier: t.Verifier}, true
+		}
+	}
+	return rosemary.Tenant{}, false
+}
+
+// Leaving reports whether a target is to get no new work.
+func (c *Content) Leaving(id rosemary.TargetID) bool {
+	for _, d := range c.Databases {
+		for _, t := range d.Targets {
+			if t.ID == string(id) {
+				return t.Leaving
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/rosegroup/controller.go
@@ -0,0 +1,293 @@
+package rosegroup
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// Config sets up a Controller.
+type Config struct {
+	Group rosemary.Group
+	// Controls drives the targets, one each, for watching.
+	Controls map[rosemary.TargetID]rosemary.TargetControl
+	// WatchWait is how long a target holds a watch without news.
+	WatchWait time.Duration
+	// OnChange is called after a change of terms, roles or reachability.
+	// It must not block.
+	OnChange func(Change)
+}
+
+// Change is an event that others act on.
+type Change struct {
+	Database string
+	// Down lists a target that stopped answering.
+	Down rosemary.TargetID
+	// Primary and Term are set when the primary changed.
+	Primary rosemary.TargetID
+	Term    uint64
+}
+
+const (
+	defaultWatchWait = 200 * time.Millisecond
+	// reconnectPause separates attempts to reach a silent target.
+	reconnectPause = 25 * time.Millisecond
+	// downAfter is the number of failed calls after which a target counts
+	// as down: a failed watch, then a failed new connection.
+	downAfter = 2
+)
+
+// Controller follows one group. Its methods may be called concurrently.
+type Controller struct {
+	config Config
+
+	mu      sync.Mutex
+	facts   *Facts
+	reach   map[rosemary.TargetID]Reach
+	changed chan struct{}
+	primary rosemary.TargetID
+	term    uint64
+}
+
+// Reach tells whether a target answers this process.
+type Reach struct {
+	Failures int
+	// Refused is set when the target's VM answered that nothing listens.
+	Refused bool
+	// Since is when the present state began.
+	Since time.Time
+}
+
+// Down reports whether the target counts as unreachable.
+func (r Reach) Down() bool { return r.Failures >= downAfter }
+
+// NewController returns a controller; Run starts it.
+func NewController(config Config) *Controller {
+	if config.WatchWait <= 0 {
+		config.WatchWait = defaultWatchWait
+	}
+	if config.OnChange == nil {
+		config.OnChange = func(Change) {}
+	}
+	return &Controller{
+		config:  config,
+		facts:   NewFacts(config.Group),
+		reach:   make(map[rosemary.TargetID]Reach),
+		changed: make(chan struct{}),
+	}
+}
+
+// Group returns the group that the controller follows.
+func (c *Controller) Group() rosemary.Group { return c.config.Group }
+
+// Run watches every target until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	tasks, ctx := errgroup.WithContext(ctx)
+	for id, control := range c.config.Controls {
+		tasks.Go(func() error {
+			c.watch(ctx, id, control)
+			return nil
+		})
+	}
+	return tasks.Wait()
+}
+
+func (c *Controller) watch(ctx context.Context, id rosemary.TargetID, control rosemary.TargetControl) {
+	var known rosemary.Status
+	for ctx.Err() == nil {
+		sent := time.Now()
+		status, err := control.Watch(ctx, known, c.config.WatchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			known = rosemary.Status{}
+			c.noteFailure(id, err)
+			pause(ctx, reconnectPause)
+			continue
+		}
+		known = status
+		c.noteAnswer(id)
+		c.Note(Fact{Status: status, SentAt: sent, ReceivedAt: time.Now()})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Controller) noteAnswer(id rosemary.TargetID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reach[id].Failures > 0 || c.reach[id].Since.IsZero() {
+		c.reach[id] = Reach{Since: time.Now()}
+		c.wake()
+	}
+}
+
+func (c *Controller) noteFailure(id rosemary.TargetID, err error) {
+	c.mu.Lock()
+	r := c.reach[id]
+	if r.Failures == 0 {
+		r.Since = time.Now()
+	}
+	r.Failures++
+	r.Refused = isRefused(err)
+	if r.Refused {
+		r.Failures = max(r.Failures, downAfter)
+	}
+	before := c.reach[id].Down()
+	c.reach[id] = r
+	if r.Down() != before {
+		c.wake()
+	}
+	c.mu.Unlock()
+	if r.Down() && !before {
+		c.config.OnChange(Change{Database: c.config.Group.Database, Down: id})
+	}
+}
+
+// Note takes in a fact, from this process's watch or from a peer.
+func (c *Controller) Note(fact Fact) {
+	c.mu.Lock()
+	news := c.facts.Note(fact)
+	if news {
+		c.wake()
+	}
+	primary, ok := c.facts.Primary()
+	moved := ok && (primary.Target != c.primary || primary.Term != c.term)
+	if moved {
+		c.primary, c.term = primary.Target, primary.Term
+	}
+	c.mu.Unlock()
+	if moved {
+		c.config.OnChange(Change{Database: c.config.Group.Database, Primary: primary.Target, Term: primary.Term})
+	}
+}
+
+// wake tells waiters to look again. The lock is held.
+func (c *Controller) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Changed returns a channel that closes at the next change.
+func (c *Controller) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// TargetView is what is known of one target at one moment.
+type TargetView struct {
+	rosemary.Target
+	Status rosemary.Status
+	Reach  Reach
+	// Age bounds the age of the target's data; Known is false without bound.
+	Age      time.Duration
+	AgeKnown bool
+	Seen     bool
+	// SeenAt is when the status was asked for.
+	SeenAt time.Time
+}
+
+// View is what is known of a group at one moment.
+type View struct {
+	Term    uint64
+	Targets []TargetView
+	// Primary is the leader of Term; HasPrimary is false when none is known.
+	Primary    TargetView
+	HasPrimary bool
+	Confirmed  rosemary.Position
+	// CurrentAt is when Term was last known to be in force.
+	CurrentAt time.Time
+	// ConfirmLag is how far confirmation is behind the primary.
+	ConfirmLag time.Duration
+}
+
+// View returns what is known now, and a channel that closes at the next change.
+func (c *Controller) View() (View, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	term := c.facts.Term()
+	view := View{Term: term, Confirmed: c.facts.Confirmed(), CurrentAt: c.facts.CurrentAt(term)}
+	if at := c.facts.ConfirmedAt(); !at.IsZero() {
+		view.ConfirmLag = now.Sub(at)
+	}
+	for _, t := range c.config.Group.Targets {
+		fact, seen := c.facts.Of(t.ID)
+		tv := TargetView{Target: t, Status: fact.Status, Reach: c.reach[t.ID], Seen: seen, SeenAt: fact.SentAt}
+		if fresh := c.facts.FreshAt(t.ID); !fresh.IsZero() {
+			tv.Age = now.Sub(fresh)
+			tv.AgeKnown = true
+		}
+		view.Targets = append(view.Targets, tv)
+		if seen && fact.Term == term && fact.LeadsTerm() {
+			view.Primary = tv
+			view.HasPrimary = true
+		}
+	}
+	return view, c.changed
+}
+
+// Facts returns the facts known now.
+func (c *Controller) Facts() []Fact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.facts.All()
+}
+
+// Confirm waits until the fate of the record at p is known. The error is
+// ctx's when it isn't known in time.
+func (c *Controller) Confirm(ctx context.Context, p rosemary.Position) (rosemary.Fate, error) {
+	for {
+		c.mu.Lock()
+		fate := c.facts.Fate(p)
+		changed := c.changed
+		c.mu.Unlock()
+		if fate != rosemary.FateUnknown {
+			return fate, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return rosemary.FateUnknown, ctx.Err()
+		}
+	}
+}
+
+// SampleFloor returns a position at or after every write that was
+// acknowledged before since. It waits until the primary was seen after since
+// and its term was in force after since.
+func (c *Controller) SampleFloor(ctx context.Context, since time.Time) (rosemary.Position, error) {
+	for {
+		c.mu.Lock()
+		primary, ok := c.facts.Primary()
+		settled := ok && !primary.SentAt.Before(since) && !c.facts.CurrentAt(primary.Term).Before(since)
+		c.mu.Unlock()
+		if settled {
+			return primary.Position, nil
+		}
+		if err := waitPoll(ctx); err != nil {
+			return rosemary.Position{}, err
+		}
+	}
+}
+
+// samplePoll separates looks at facts whose times matter, not only their news.
+const samplePoll = 2 * time.Millisecond
+
+func waitPoll(ctx context.Context) error {
+	pause(ctx, samplePoll)
+	return ctx.Err()
+}
--- /dev/null
+++ b/pkg/rosemary/status.go
@@ -0,0 +1,111 @@
+package rosemary
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Role is what a target does for its group.
+type Role string
+
+// Roles of a target.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+	RoleFenced  Role = "fenced"
+)
+
+// TermStart is the first offset that a term wrote.
+type TermStart struct {
+	Term   uint64
+	Offset uint64
+}
+
+// History lists the terms of a log, oldest first.
+type History []TermStart
+
+// String formats the history as "term:offset,term:offset".
+func (h History) String() string {
+	parts := make([]string, len(h))
+	for i, s := range h {
+		parts[i] = strconv.FormatUint(s.Term, 10) + ":" + strconv.FormatUint(s.Offset, 10)
+	}
+	return strings.Join(parts, ",")
+}
+
+// ParseHistory reads the form that String writes. The error is a
+// trace.BadParameter.
+func ParseHistory(text string) (History, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var history History
+	for part := range strings.SplitSeq(text, ",") {
+		position, err := ParsePosition(strings.Replace(part, ":", "/", 1))
+		if err != nil {
+			return nil, trace.Wrap(err, "history %q", text)
+		}
+		history = append(history, TermStart{Term: position.LogTerm, Offset: position.Offset})
+	}
+	return history, nil
+}
+
+// Fate tells whether a record is part of a log.
+type Fate int
+
+// Fates of a record with respect to a log.
+const (
+	FateUnknown Fate = iota
+	FateContained
+	FateLost
+)
+
+// FateOf tells whether a log that ends at end and has history h holds the
+// record written at p. A log that has not reached p's term leaves it unknown.
+func (h History) FateOf(p, end Position) Fate {
+	if p.LogTerm > end.LogTerm {
+		return FateUnknown
+	}
+	if p.LogTerm == end.LogTerm {
+		if p.Offset <= end.Offset {
+			return FateContained
+		}
+		return FateUnknown
+	}
+	for i, s := range h {
+		if s.Term != p.LogTerm {
+			continue
+		}
+		if i+1 < len(h) && p.Offset >= h[i+1].Offset {
+			return FateLost
+		}
+		return FateContained
+	}
+	if len(h) > 0 && p.LogTerm < h[0].Term {
+		return FateUnknown
+	}
+	return FateLost
+}
+
+// Status is what a target reports of itself.
+type Status struct {
+	Target TargetID
+	// Term is the highest term that the target has accepted.
+	Term uint64
+	// Position is that of the target's last record.
+	Position Position
+	Role     Role
+	// Primary is the target that this one follows, itself for a primary.
+	Primary TargetID
+	// History is that of the target's log, cut to its newest terms.
+	History History
+	// Leaving is set when the target asks for no new work.
+	Leaving bool
+}
+
+// LeadsTerm reports whether the target is the primary of its own term.
+func (s Status) LeadsTerm() bool {
+	return s.Role == RolePrimary && s.Position.LogTerm == s.Term
+}
--- /dev/null
+++ b/pkg/rosepool/control.go
@@ -0,0 +1,141 @@
+package rosepool
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// controlTimeout bounds a control call beyond its own wait.
+const controlTimeout = 600 * time.Millisecond
+
+// Control drives one target over a connection of its own. It implements
+// rosemary.TargetControl and serves one call at a time.
+type Control struct {
+	config Config
+	conn   *Conn
+}
+
+var _ rosemary.TargetControl = (*Control)(nil)
+
+// NewControl returns a control that connects at its first call.
+func NewControl(config Config) *Control {
+	return &Control{config: config}
+}
+
+// Close ends the connection.
+func (c *Control) Close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// Watch returns the target's status once it differs from known, or after wait.
+func (c *Control) Watch(ctx context.Context, known rosemary.Status, wait time.Duration) (rosemary.Status, error) {
+	fingerprint := strconv.FormatUint(known.Term, 10) + "|" + known.Position.String() + "|" +
+		string(known.Role) + "|" + strconv.FormatBool(known.Leaving)
+	return c.call(ctx, wait, "watch", fingerprint, strconv.FormatInt(wait.Milliseconds(), 10))
+}
+
+// Fence makes the target accept term and refuse writes of older terms.
+func (c *Control) Fence(ctx context.Context, term uint64, proposer string) (rosemary.Status, error) {
+	return c.call(ctx, 0, "fence", strconv.FormatUint(term, 10), proposer)
+}
+
+// Promote makes a target fenced at term its primary.
+func (c *Control) Promote(ctx context.Context, term uint64) (rosemary.Status, error) {
+	return c.call(ctx, 0, "promote", strconv.FormatUint(term, 10))
+}
+
+// Follow makes the target replicate from primary under term.
+func (c *Control) Follow(ctx context.Context, primary rosemary.TargetID, term uint64) (rosemary.Status, error) {
+	return c.call(ctx, 0, "follow", string(primary), strconv.FormatUint(term, 10))
+}
+
+func (c *Control) call(ctx context.Context, wait time.Duration, function string, args ...string) (rosemary.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+controlTimeout)
+	defer cancel()
+	if c.conn == nil {
+		conn, err := Open(ctx, c.config.Dialer, c.config.Target, c.config.Credentials)
+		if err != nil {
+			return rosemary.Status{}, err
+		}
+		c.conn = conn
+	}
+	for i, a := range args {
+		args[i] = "'" + strings.ReplaceAll(a, "'", "''") + "'"
+	}
+	rows, err := c.conn.Query(ctx, "SELECT * FROM rosemary."+function+"("+strings.Join(args, ", ")+")")
+	if c.conn.Broken() {
+		c.conn = nil
+	}
+	if err != nil {
+		return rosemary.Status{}, err
+	}
+	return parseStatus(rows)
+}
+
+// Query runs a simple query and returns its rows in text form. An error
+// answered by the target is a trace.BadParameter.
+func (c *Conn) Query(ctx context.Context, query string) ([][]string, error) {
+	var rows [][]string
+	var failure error
+	err := c.Exchange(ctx, Step{
+		Messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: query}},
+		Receive: func(message pgproto3.BackendMessage) error {
+			switch m := message.(type) {
+			case *pgproto3.DataRow:
+				fields := make([]string, len(m.Values))
+				for i, v := range m.Values {
+					fields[i] = string(v)
+				}
+				rows = append(rows, fields)
+			case *pgproto3.ErrorResponse:
+				failure = trace.BadParameter("target %s answered %s: %s", c.Target, m.Code, m.Message)
+			}
+			return nil
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rows, failure
+}
+
+// statusFields is the number of columns of a status.
+const statusFields = 7
+
+func parseStatus(rows [][]string) (rosemary.Status, error) {
+	if len(rows) != 1 || len(rows[0]) != statusFields {
+		return rosemary.Status{}, trace.BadParameter("the target's control functions are of another version")
+	}
+	f := rows[0]
+	term, err := strconv.ParseUint(f[1], 10, 64)
+	if err != nil {
+		return rosemary.Status{}, trace.BadParameter("status: bad term %q", f[1])
+	}
+	position, err := rosemary.ParsePosition(f[2])
+	if err != nil {
+		return rosemary.Status{}, err
+	}
+	history, err := rosemary.ParseHistory(f[5])
+	if err != nil {
+		return rosemary.Status{}, err
+	}
+	return rosemary.Status{
+		Target:   rosemary.TargetID(f[0]),
+		Term:     term,
+		Position: position,
+		Role:     rosemary.Role(f[3]),
+		Primary:  rosemary.TargetID(f[4]),
+		History:  history,
+		Leaving:  f[6] == "true",
+	}, nil
+}
