load: run a seeded mix with faults and check its history

Cause: no policy could be judged without a record of what callers saw. Figures come from the callers' side; only the share of replica reads is the proxies' count.

--- /dev/null
+++ b/internal/rosecommand/load.go
@@ -0,0 +1,79 @@
+package rosecommand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosedaemon"
+	"github.com/rosemarywell/rosemarywell/internal/roseload"
+	"github.com/rosemarywell/rosemarywell/internal/rosestack"
+)
+
+func init() {
+	register(command{"load", "run a deployment under load and faults, and check its history", runLoad})
+}
+
+func runLoad(ctx context.Context, environment Environment, args []string) error {
+	flags := flag.NewFlagSet("load", flag.ContinueOnError)
+	name := flags.String("deployment", "costa-rica", "costa-rica or guatemala")
+	span := flags.Duration("for", 20*time.Second, "time during which requests arrive")
+	seed := flags.Uint64("seed", 1, "seed of arrivals, sessions and faults")
+	rate := flags.Float64("rate", 0, "requests a second; 0 takes the default")
+	faults := flags.String("fault", "none", "faults joined by +: "+strings.Join(roseload.FaultNames(), ", "))
+	baseline := flags.String("baseline", "", "policy to compare with: primary-reads, fifo or acknowledge-on-primary")
+	format := flags.String("report", "json", "format of the report: json")
+	if err := parse(flags, environment, args); err != nil {
+		return err
+	}
+	deployment, err := rosestack.FindDeployment(*name)
+	if err != nil {
+		return usageError{err}
+	}
+	policy, err := findBaseline(*baseline)
+	if err != nil {
+		return usageError{err}
+	}
+	if *format != "json" {
+		return usageError{trace.BadParameter("no report format %q; use json", *format)}
+	}
+	report, err := roseload.Run(ctx, roseload.Config{
+		Deployment: deployment,
+		For:        *span,
+		Seed:       *seed,
+		Rate:       *rate,
+		Faults:     strings.Split(*faults, "+"),
+		Baseline:   policy,
+		Progress:   environment.Err,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	encoder := json.NewEncoder(environment.Out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(report); err != nil {
+		return trace.Wrap(err)
+	}
+	if report.Violations() > 0 {
+		return trace.CompareFailed("the history breaks %d promises", report.Violations())
+	}
+	return nil
+}
+
+func findBaseline(name string) (rosedaemon.Baseline, error) {
+	switch name {
+	case "":
+		return rosedaemon.Baseline{}, nil
+	case "primary-reads":
+		return rosedaemon.Baseline{PrimaryReads: true}, nil
+	case "fifo":
+		return rosedaemon.Baseline{FirstInFirstOut: true}, nil
+	case "acknowledge-on-primary":
+		return rosedaemon.Baseline{AcknowledgeOnPrimary: true}, nil
+	}
+	return rosedaemon.Baseline{}, trace.BadParameter("no baseline %q; use primary-reads, fifo or acknowledge-on-primary", name)
+}
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -45,8 +45,9 @@
 
 // Daemon is one proxy.
 type Daemon struct {
-	config Config
-	front  *rosefront.Server
+	config  Config
+	front   *rosefront.Server
+	metrics *rosefront.Metrics
 
 	mu       sync.RWMutex
 	content  *rosebundle.Content
@@ -55,9 +56,10 @@
 
 // New returns a daemon that serves nothing until Apply and Serve.
 func New(config Config) *Daemon {
-	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend)}
+	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
 	d.front = rosefront.NewServer(rosefront.Config{
 		Directory:            d,
+		Metrics:              d.metrics,
 		Keys:                 config.Keys,
 		TLS:                  config.TLS,
 		RequireTLS:           config.RequireTLS,
@@ -139,6 +141,9 @@
 	return d.content.Leaving(id)
 }
 
+// Metrics returns what the proxy counts of its callers.
+func (d *Daemon) Metrics() *rosefront.Metrics { return d.metrics }
+
 // Serve accepts callers from listener until it is closed.
 func (d *Daemon) Serve(listener net.Listener) error {
 	return d.front.Serve(listener)
--- a/internal/rosefront/caller.go
+++ b/internal/rosefront/caller.go
@@ -210,7 +210,7 @@
 
 // record writes the metrics, and a log line for a refusal.
 func (c *caller) record(r *request, err error, took time.Duration) {
-	outcome := "answered"
+	outcome := outcomeAnswered
 	if err != nil {
 		refusal := rosemary.AsRefusal(err, rosemary.OutcomeUnknown)
 		outcome = string(refusal.Outcome)
--- a/internal/rosefront/metrics.go
+++ b/internal/rosefront/metrics.go
@@ -2,19 +2,26 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// outcomeAnswered is the outcome of a request that got its answer.
+const outcomeAnswered = "answered"
+
 // Metrics counts what callers asked and got.
 type Metrics struct {
 	set *metrics.Set
+
+	mu       sync.Mutex
+	answered map[servedClass]uint64
 }
 
 // NewMetrics returns an empty set of metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{set: metrics.NewSet()}
+	return &Metrics{set: metrics.NewSet(), answered: make(map[servedClass]uint64)}
 }
 
 // Set returns the underlying set, for writing it out.
@@ -27,6 +34,12 @@
 	m.set.GetOrCreateHistogram("rosemary_request_seconds" + labels).Update(d.Seconds())
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rosemary_requests_total{tenant=%q,class=%q,served=%q,outcome=%q}`,
 		tenant, class, served, outcome)).Inc()
+	if outcome != outcomeAnswered {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.answered[servedClass{class, served}]++
 }
 
 // observeConfirm records how long a write waited for its quorum.
@@ -38,3 +51,16 @@
 func (m *Metrics) refused(tenant, kind, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`rosemary_refusals_total{tenant=%q,kind=%q,outcome=%q}`, tenant, kind, outcome)).Inc()
 }
+
+// Answered returns the number of requests of a class that one kind of target
+// answered, over all tenants.
+func (m *Metrics) Answered(class, served string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered[servedClass{class, served}]
+}
+
+type servedClass struct {
+	class  string
+	served string
+}
--- a/internal/rosestack/stack.go
+++ b/internal/rosestack/stack.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -36,6 +37,7 @@
 	Proxies  []*Proxy
 	Content  *rosebundle.Content
 	keys     *rosesession.Keys
+	mu       sync.Mutex
 }
 
 // Proxy is one running proxy of the stack.
@@ -46,6 +48,7 @@
 	Daemon   *rosedaemon.Daemon
 	listener net.Listener
 	tasks    sync.WaitGroup
+	down     atomic.Bool
 }
 
 // startTimeout bounds the wait for a stack to serve.
@@ -169,6 +172,8 @@
 	p.Address = listener.Addr().String()
 	p.Daemon.Apply(s.Content)
 	p.tasks.Go(func() { _ = p.Daemon.Serve(listener) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if i < len(s.Proxies) {
 		s.Proxies[i] = p
 	} else {
@@ -177,6 +182,19 @@
 	return p, nil
 }
 
+// Running lists the proxies that accept callers.
+func (s *Stack) Running() []*Proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var running []*Proxy
+	for _, p := range s.Proxies {
+		if !p.down.Load() {
+			running = append(running, p)
+		}
+	}
+	return running
+}
+
 func (s *Stack) listenAddress(i int) string {
 	if i < len(s.Proxies) {
 		return s.Proxies[i].Address
@@ -194,6 +212,7 @@
 
 // Kill ends the proxy at once, as the death of its VM would.
 func (p *Proxy) Kill() {
+	p.down.Store(true)
 	p.listener.Close()
 	p.Daemon.Close()
 	p.tasks.Wait()
@@ -201,6 +220,7 @@
 
 // Drain shuts the proxy down gracefully.
 func (p *Proxy) Drain(ctx context.Context) error {
+	p.down.Store(true)
 	p.listener.Close()
 	err := p.Daemon.Drain(ctx)
 	p.Daemon.Close()
--- a/internal/rosetarget/execute.go
+++ b/internal/rosetarget/execute.go
@@ -26,7 +26,7 @@
 	case "update", "delete":
 		return x.change(ctx, s, params)
 	}
-	return x.selectRows(s, params)
+	return x.selectRows(ctx, s, params)
 }
 
 // writable refuses a write on a target that isn't the primary of its term.
@@ -248,7 +248,7 @@
 	return true, nil
 }
 
-func (x *transaction) selectRows(s *statement, params []value) (*result, error) {
+func (x *transaction) selectRows(ctx context.Context, s *statement, params []value) (*result, error) {
 	if s.table == "" {
 		v, err := evaluator{params: params}.value(s.rows[0][0])
 		if err != nil {
@@ -264,6 +264,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.forUpdate {
+		if keys, err = x.lockRows(ctx, t, s, keys, params); err != nil {
+			return nil, err
+		}
+	}
 	if s.count {
 		count := row{{Text: strconv.Itoa(len(keys))}}
 		return &result{columns: countColumns, rows: []row{count}, tag: "SELECT 1"}, nil
@@ -271,6 +276,19 @@
 	return x.project(t, s, keys, params)
 }
 
+// lockRows locks rows and looks again which of them match.
+func (x *transaction) lockRows(ctx context.Context, t *table, s *statement, keys []string, params []value) ([]string, error) {
+	if err := x.writable(); err != nil {
+		return nil, err
+	}
+	for _, key := range keys {
+		if err := x.lock(ctx, lockKey{s.table, key}); err != nil {
+			return nil, err
+		}
+	}
+	return x.matching(t, s, params)
+}
+
 var countColumns = []column{{Name: "count", Number: true}}
 
 func literalColumns(s *statement) []column {
--- a/internal/rosetarget/parser.go
+++ b/internal/rosetarget/parser.go
@@ -40,6 +40,7 @@
 	limit      *expression
 	count      bool
 	ignoreDup  bool
+	forUpdate  bool
 	function   string
 	args       []expression
 	name       string
@@ -367,7 +368,7 @@
 		}
 		s.limit = &e
 	}
-	p.word("for", "update")
+	s.forUpdate = p.word("for", "update")
 	return nil
 }
 
