admit: compare each class with its own least latency

Cause: a flooding tenant's long reads raised the mean latency of all classes, so the in-flight limit swung with the mix instead of with the target's queue; the stand-in also charged long reads like look-ups. Change: the limiter follows the rise of latency over each class's own least; reads of many rows hold a slot for 10 ms in the stand-in; overload asks ten times the flooding tenant's weighted share of that capacity.

--- a/internal/roseload/fault_overload.go
+++ b/internal/roseload/fault_overload.go
@@ -2,9 +2,9 @@
 
 import "context"
 
-// floodShare is the share of one tenant's requests under overload: the others
-// go on as before, and that tenant sends ten times its own.
-const floodShare = 0.9
+// floodFactor is how many times its fair share of the replicas' capacity one
+// tenant asks for under overload, while the others go on as before.
+const floodFactor = 10
 
 func init() {
 	addFault(fault{name: "overload", strike: strikeFlood, heal: healFlood})
@@ -21,3 +21,20 @@
 	defer f.mu.Unlock()
 	f.flooding = ""
 }
+
+// floodRate returns the requests a second of the flooding tenant.
+func (r *run) floodRate() float64 {
+	d := r.config.Deployment
+	replicas := float64(len(d.Databases) * (len(d.Zones) - 1))
+	capacity := replicas * float64(d.Slots) / d.ListTime.Seconds()
+	weights := 0.0
+	for _, t := range d.Tenants {
+		weights += r.weight(t.Name)
+	}
+	return floodFactor * capacity * r.weight(r.mix.listTenant) / weights
+}
+
+// floodShare returns the flooding tenant's share of all requests.
+func (r *run) floodShare() float64 {
+	return r.floodRate() / (r.floodRate() + r.config.Rate)
+}
--- a/internal/roseload/faults.go
+++ b/internal/roseload/faults.go
@@ -101,7 +101,7 @@
 func (f *faults) flood(random *rand.Rand) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.flooding, f.flooding != "" && random.Float64() < floodShare
+	return f.flooding, f.flooding != "" && random.Float64() < f.run.floodShare()
 }
 
 // pace returns the factor on the time between requests.
@@ -109,7 +109,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.flooding != "" {
-		return 1 - floodShare
+		return 1 - f.run.floodShare()
 	}
 	return 1
 }
--- a/internal/roseload/mix.go
+++ b/internal/roseload/mix.go
@@ -60,12 +60,12 @@
 		readClass: "status", listClass: "entry-list", writeClass: "sign-up", onceClass: "payment",
 		readTenant: "runners", listTenant: "clubs", writeTenant: "runners",
 		readAge: 3 * time.Second, listAge: 10 * time.Second,
-		key: func(i int) string { return "seed-" + strconv.Itoa(i) }, table: "entries", versionField: 4, onceTable: "payments",
+		key: func(i int) string { return fmt.Sprintf("seed-%03d", i) }, table: "entries", versionField: 4, onceTable: "payments",
 		writeSQL: func(i int, value int64) string {
-			return fmt.Sprintf("UPDATE entries SET status = 'signed', version = %d WHERE id = 'seed-%d'", value, i)
+			return fmt.Sprintf("UPDATE entries SET status = 'signed', version = %d WHERE id = 'seed-%03d'", value, i)
 		},
 		onceSQL: func(id string, i int) string {
-			return fmt.Sprintf("INSERT INTO payments (id, entry, cents) VALUES ('%s', 'seed-%d', 15000)", id, i)
+			return fmt.Sprintf("INSERT INTO payments (id, entry, cents) VALUES ('%s', 'seed-%03d', 15000)", id, i)
 		},
 	}
 }
--- a/internal/roseload/run.go
+++ b/internal/roseload/run.go
@@ -38,7 +38,7 @@
 	defaultRate = 600
 	// maxSessions bounds the sessions of a run; requests that find none
 	// idle are not sent.
-	maxSessions = 400
+	maxSessions = 1500
 	// warmUp is how long a stack runs before its load.
 	warmUp = 700 * time.Millisecond
 	// settleTime is how long replicas get to catch up at the end.
--- a/internal/rosestack/deployment.go
+++ b/internal/rosestack/deployment.go
@@ -27,6 +27,7 @@
 	ConnectTime time.Duration
 	ReadTime    time.Duration
 	WriteTime   time.Duration
+	ListTime    time.Duration
 	// Schema makes the tables of each database.
 	Schema []string
 	// Seed fills them.
@@ -63,6 +64,7 @@
 		ConnectTime: 10 * time.Millisecond,
 		ReadTime:    200 * time.Microsecond,
 		WriteTime:   400 * time.Microsecond,
+		ListTime:    10 * time.Millisecond,
 		Schema: []string{
 			"CREATE TABLE licences (id bigint PRIMARY KEY, driver text, status text, expires bigint, version bigint)",
 			"CREATE TABLE audit (id text PRIMARY KEY, licence bigint, action text)",
@@ -97,6 +99,7 @@
 		ConnectTime: 10 * time.Millisecond,
 		ReadTime:    200 * time.Microsecond,
 		WriteTime:   400 * time.Microsecond,
+		ListTime:    10 * time.Millisecond,
 		Schema: []string{
 			"CREATE TABLE races (id bigint PRIMARY KEY, name text, places bigint)",
 			"CREATE TABLE entries (id text PRIMARY KEY, race bigint, runner text, status text, version bigint)",
@@ -105,7 +108,7 @@
 		Seed: append(
 			seedRows("races", "id, name, places", func(i int) string { return fmt.Sprintf("(%d, 'race-%d', 5000)", i, i) }),
 			seedRows("entries", "id, race, runner, status, version", func(i int) string {
-				return fmt.Sprintf("('seed-%d', %d, 'runner-%d', 'paid', 0)", i, i%10, i)
+				return fmt.Sprintf("('seed-%03d', %d, 'runner-%d', 'paid', 0)", i, i%10, i)
 			})...,
 		),
 		Tenants: []rosebundle.Tenant{
--- a/internal/rosestack/stack.go
+++ b/internal/rosestack/stack.go
@@ -99,6 +99,7 @@
 				ConnectTime: d.ConnectTime,
 				ReadTime:    d.ReadTime,
 				WriteTime:   d.WriteTime,
+				ListTime:    d.ListTime,
 			})
 		}
 		cluster := rosetarget.NewCluster(s.Network, configs)
--- a/internal/rosestack/stack_test.go
+++ b/internal/rosestack/stack_test.go
@@ -81,7 +81,7 @@
 		conn := connect(c, stack, 0, nil)
 		defer conn.Close(context.Background())
 		started := time.Now()
-		query(c, conn, "UPDATE entries SET version = 1 WHERE id = 'seed-1'")
+		query(c, conn, "UPDATE entries SET version = 1 WHERE id = 'seed-001'")
 		c.Check(time.Since(started) >= 2*time.Second, qt.IsTrue)
 	})
 }
--- a/internal/rosetarget/functions.go
+++ b/internal/rosetarget/functions.go
@@ -17,6 +17,7 @@
 	{Name: "primary"},
 	{Name: "history"},
 	{Name: "leaving"},
+	{Name: "streaming"},
 }
 
 func statusResult(s rosemary.Status) *result {
@@ -28,6 +29,7 @@
 		{Text: string(s.Primary)},
 		{Text: s.History.String()},
 		{Text: strconv.FormatBool(s.Leaving)},
+		{Text: strconv.FormatBool(s.Streaming)},
 	}
 	return &result{columns: statusColumns, rows: []row{r}, tag: "SELECT 1"}
 }
@@ -101,11 +103,6 @@
 	return statusResult(s), nil
 }
 
-// fingerprint is what a watcher compares: a status without its history.
-func fingerprint(s rosemary.Status) string {
-	return strconv.FormatUint(s.Term, 10) + "|" + s.Position.String() + "|" + string(s.Role) + "|" + strconv.FormatBool(s.Leaving)
-}
-
 // watch returns the status once its fingerprint differs from known.
 func (t *Target) watch(ctx context.Context, known string, wait time.Duration) rosemary.Status {
 	deadline := time.NewTimer(wait)
@@ -114,7 +111,7 @@
 		t.mu.Lock()
 		status, changed := t.status(), t.changed
 		t.mu.Unlock()
-		if fingerprint(status) != known {
+		if status.Fingerprint() != known {
 			return status
 		}
 		select {
--- a/internal/rosetarget/replicate.go
+++ b/internal/rosetarget/replicate.go
@@ -23,8 +23,10 @@
 
 // replicate copies the log of primary while term is in force.
 func (t *Target) replicate(ctx context.Context, primary *Target, term uint64) {
+	defer t.stopStream()
 	for ctx.Err() == nil && primary != nil {
 		more, changed := t.copyOnce(ctx, primary, term)
+		t.noteStream(changed != nil || more, primary)
 		if more {
 			continue
 		}
@@ -36,6 +38,38 @@
 	}
 }
 
+// streamTimeout is the silence after which a replica takes its stream for
+// broken.
+const streamTimeout = 600 * time.Millisecond
+
+// noteStream keeps what the replica reports of its stream. A primary that
+// closed the stream is noticed at once, a silent one after a time.
+func (t *Target) noteStream(heard bool, primary *Target) {
+	primary.mu.Lock()
+	closed := primary.running == nil
+	primary.mu.Unlock()
+	closed = closed && !t.config.Network.Blocked(primary.place(), t.place())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if heard {
+		t.heardAt = time.Now()
+	}
+	streaming := heard || t.streaming && !closed && time.Since(t.heardAt) < streamTimeout
+	if streaming != t.streaming {
+		t.streaming = streaming
+		t.notify()
+	}
+}
+
+func (t *Target) stopStream() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.role != rosemary.RoleReplica && t.streaming {
+		t.streaming = false
+		t.notify()
+	}
+}
+
 // copyOnce moves what the primary has and the lag allows. It reports whether
 // anything was copied, and a channel that closes when the primary changes.
 func (t *Target) copyOnce(ctx context.Context, primary *Target, term uint64) (bool, <-chan struct{}) {
--- a/internal/rosetarget/session.go
+++ b/internal/rosetarget/session.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -381,11 +382,7 @@
 	case <-ctx.Done():
 		return nil, newError("57014", "canceling statement due to user request")
 	}
-	cost := s.target.config.WriteTime
-	if st.verb == "select" {
-		cost = s.target.config.ReadTime
-	}
-	finished := sleepFor(ctx, cost)
+	finished := sleepFor(ctx, s.target.cost(st))
 	<-s.target.slots
 	if !finished {
 		return nil, newError("57014", "canceling statement due to user request")
@@ -537,3 +534,16 @@
 	}
 	return []byte(v.Text)
 }
+
+// cost is how long a statement holds its slot.
+func (t *Target) cost(st *statement) time.Duration {
+	if st.verb != "select" {
+		return t.config.WriteTime
+	}
+	for _, c := range st.where {
+		if c.operator == "=" {
+			return t.config.ReadTime
+		}
+	}
+	return max(t.config.ListTime, t.config.ReadTime)
+}
--- a/internal/rosetarget/target.go
+++ b/internal/rosetarget/target.go
@@ -30,7 +30,9 @@
 	// ReadTime and WriteTime are how long a statement holds its slot.
 	ReadTime  time.Duration
 	WriteTime time.Duration
-	Network   *rosenet.Network
+	// ListTime is ReadTime's counterpart for reads of many rows.
+	ListTime time.Duration
+	Network  *rosenet.Network
 }
 
 // Target is one stand-in database server.
@@ -48,9 +50,12 @@
 	role     rosemary.Role
 	primary  rosemary.TargetID
 	leaving  bool
-	lag      time.Duration
-	follow   context.CancelFunc
-	running  *run
+	// heardAt is when the primary was last reached by replication.
+	heardAt   time.Time
+	streaming bool
+	lag       time.Duration
+	follow    context.CancelFunc
+	running   *run
 
 	listenAddress string
 }
@@ -209,6 +214,8 @@
 		Primary:  t.primary,
 		History:  t.data.history(),
 		Leaving:  t.leaving,
+
+		Streaming: t.streaming,
 	}
 }
 
--- a/pkg/roseadmit/queue.go
+++ b/pkg/roseadmit/queue.go
@@ -67,6 +67,7 @@
 // Ticket is the right to run one request.
 type Ticket struct {
 	queue   *Queue
+	class   string
 	started time.Time
 	once    sync.Once
 }
@@ -79,7 +80,7 @@
 	if q.inFlight < q.limit.current() && len(q.waiting) == 0 {
 		q.inFlight++
 		q.mu.Unlock()
-		return q.ticket(), nil
+		return q.ticket(flow), nil
 	}
 	if refusal := q.refuse(ctx, flow); refusal != nil {
 		q.mu.Unlock()
@@ -89,14 +90,14 @@
 	q.mu.Unlock()
 	select {
 	case <-w.ready:
-		return q.ticket(), nil
+		return q.ticket(flow), nil
 	case <-ctx.Done():
 		return nil, q.abandon(w)
 	}
 }
 
-func (q *Queue) ticket() *Ticket {
-	return &Ticket{queue: q, started: time.Now()}
+func (q *Queue) ticket(flow Flow) *Ticket {
+	return &Ticket{queue: q, class: flow.Class, started: time.Now()}
 }
 
 // refuse returns a refusal when the bounds or the deadline can't be met. The
@@ -192,7 +193,7 @@
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		if served {
-			q.limit.observe(time.Since(t.started), q.inFlight)
+			q.limit.observe(t.class, time.Since(t.started), q.inFlight)
 		}
 		q.inFlight--
 		q.dispatch()
--- a/pkg/rosegroup/facts.go
+++ b/pkg/rosegroup/facts.go
@@ -50,7 +50,7 @@
 	}
 	f.ages.validate(fact.Term, f.CurrentAt(fact.Term))
 	return !seen || fact.Term != known.Term || fact.Position != known.Position ||
-		fact.Role != known.Role || fact.Leaving != known.Leaving
+		fact.Role != known.Role || fact.Leaving != known.Leaving || fact.Streaming != known.Streaming
 }
 
 func supersedes(fact, known Fact) bool {
--- a/pkg/rosemary/status.go
+++ b/pkg/rosemary/status.go
@@ -101,6 +101,8 @@
 	Primary TargetID
 	// History is that of the target's log, cut to its newest terms.
 	History History
+	// Streaming is set on a replica while its primary's log reaches it.
+	Streaming bool
 	// Leaving is set when the target asks for no new work.
 	Leaving bool
 }
@@ -109,3 +111,16 @@
 func (s Status) LeadsTerm() bool {
 	return s.Role == RolePrimary && s.Position.LogTerm == s.Term
 }
+
+// Fingerprint returns what a watch compares: it changes with every field but
+// the history, which changes with the term.
+func (s Status) Fingerprint() string {
+	return strings.Join([]string{
+		strconv.FormatUint(s.Term, 10),
+		s.Position.String(),
+		string(s.Role),
+		string(s.Primary),
+		strconv.FormatBool(s.Leaving),
+		strconv.FormatBool(s.Streaming),
+	}, "|")
+}
--- a/pkg/rosepool/control.go
+++ b/pkg/rosepool/control.go
@@ -39,9 +39,7 @@
 
 // Watch returns the target's status once it differs from known, or after wait.
 func (c *Control) Watch(ctx context.Context, known rosemary.Status, wait time.Duration) (rosemary.Status, error) {
-	fingerprint := strconv.FormatUint(known.Term, 10) + "|" + known.Position.String() + "|" +
-		string(known.Role) + "|" + strconv.FormatBool(known.Leaving)
-	return c.call(ctx, wait, "watch", fingerprint, strconv.FormatInt(wait.Milliseconds(), 10))
+	return c.call(ctx, wait, "watch", known.Fingerprint(), strconv.FormatInt(wait.Milliseconds(), 10))
 }
 
 // Fence makes the target accept term and refuse writes of older terms.
@@ -110,7 +108,7 @@
 }
 
 // statusFields is the number of columns of a status.
-const statusFields = 7
+const statusFields = 8
 
 func parseStatus(rows [][]string) (rosemary.Status, error) {
 	if len(rows) != 1 || len(rows[0]) != statusFields {
@@ -137,5 +135,7 @@
 		Primary:  rosemary.TargetID(f[4]),
 		History:  history,
 		Leaving:  f[6] == "true",
+
+		Streaming: f[7] == "true",
 	}, nil
 }
