supervisor: fence and promote when replicas witness the loss

Cause: a primary's crash stopped writes for good. Change: peers over WebSocket and CBOR, the platform's store by its gateway, and a supervisor for each group that promotes once so many reachable replicas no longer receive the primary's log that it can't confirm a write. Ruled out: opinions gathered from peers; a replica's own view of its stream says the same, needs no message, and is what confirmation depends on.

--- a/internal/rosedaemon/backend.go
+++ b/internal/rosedaemon/backend.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
 	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesupervisor"
 )
 
 // trimInterval separates looks at connections that have been idle for long.
@@ -27,8 +28,10 @@
 	pools    map[rosemary.TargetID]*rosepool.Pool
 	queues   map[rosemary.TargetID]*roseadmit.Queue
 	router   *roseroute.Router
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	// supervisor keeps the group led.
+	supervisor *rosesupervisor.Supervisor
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
 }
 
 // newBackend builds and starts what serves a database.
@@ -44,7 +47,7 @@
 	for _, t := range group.Targets {
 		config := rosepool.Config{
 			Target:      t,
-			Dialer:      d.config.Dialer,
+			Dialer:      d.dialer,
 			Credentials: d.credentials(group.Database),
 			Limit:       share,
 		}
@@ -68,6 +71,7 @@
 		Leaving:      d.leaving,
 		PrimaryReads: d.config.Baseline.PrimaryReads,
 	})
+	b.supervisor = d.newSupervisor(b)
 	b.start()
 	return b
 }
@@ -76,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	b.done.Go(func() { _ = b.group.Run(ctx) })
+	b.done.Go(func() { b.supervisor.Run(ctx) })
 	b.done.Go(func() { b.trim(ctx) })
 }
 
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarywell/rosemarywell/internal/rosefront"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
 	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
 )
@@ -40,7 +41,16 @@
 	MaxCallers     int
 	TargetUser     string
 	TargetPassword string
-	Baseline       Baseline
+	// PeerAddress is where peers reach this proxy; empty runs it alone.
+	PeerAddress string
+	// PeerTLS authenticates proxies to each other; nil trusts the network.
+	PeerTLS *tls.Config
+	// Seeds are peers known from settings.
+	Seeds []rosemary.Member
+	// Store and Roster are the platform's; either may be nil.
+	Store    rosemary.Store
+	Roster   rosemary.Roster
+	Baseline Baseline
 }
 
 // Daemon is one proxy.
@@ -48,6 +58,10 @@
 	config  Config
 	front   *rosefront.Server
 	metrics *rosefront.Metrics
+	mesh    *rosepeer.Mesh
+	dialer  rosemary.Dialer
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
 
 	mu       sync.RWMutex
 	content  *rosebundle.Content
@@ -57,6 +71,7 @@
 // New returns a daemon that serves nothing until Apply and Serve.
 func New(config Config) *Daemon {
 	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
+	d.newMesh()
 	d.front = rosefront.NewServer(rosefront.Config{
 		Directory:            d,
 		Metrics:              d.metrics,
@@ -64,8 +79,13 @@
 		TLS:                  config.TLS,
 		RequireTLS:           config.RequireTLS,
 		MaxCallers:           config.MaxCallers,
+		ForwardCancel:        d.mesh.Cancel,
 		AcknowledgeOnPrimary: config.Baseline.AcknowledgeOnPrimary,
 	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.tasks.Go(func() { d.mesh.Run(ctx) })
+	d.tasks.Go(func() { d.followRoster(ctx) })
 	return d
 }
 
@@ -160,6 +180,7 @@
 // off while ctx lasts.
 func (d *Daemon) Drain(ctx context.Context) error {
 	started := time.Now()
+	d.mesh.Leave()
 	klog.InfoS("drain begins", "proxy", d.config.Name, "callers", d.front.Callers())
 	err := d.front.Drain(ctx)
 	klog.InfoS("drain ended", "proxy", d.config.Name, "took", time.Since(started), "left", d.front.Callers())
@@ -176,4 +197,6 @@
 	for _, b := range backends {
 		b.close()
 	}
+	d.cancel()
+	d.tasks.Wait()
 }
--- /dev/null
+++ b/internal/rosedaemon/peers.go
@@ -0,0 +1,159 @@
+package rosedaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesupervisor"
+	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
+)
+
+const (
+	// rosterInterval separates looks at the platform's VM list.
+	rosterInterval = 5 * time.Second
+	// peerHeaderTimeout bounds the start of a peer's connection.
+	peerHeaderTimeout = 5 * time.Second
+)
+
+func (d *Daemon) newMesh() {
+	self := rosemary.Member{Proxy: d.config.Name, Zone: d.config.Zone, Address: d.config.PeerAddress}
+	d.mesh = rosepeer.NewMesh(rosepeer.Config{
+		Node:      rosepeer.NodeConfig{Self: self, Incarnation: uint64(time.Now().UnixMilli())},
+		Dialer:    d.config.Dialer,
+		TLS:       d.config.PeerTLS,
+		OnEvent:   d.peerEvent,
+		OnCancel:  func(pid, secret uint32) { d.front.Cancel(pid, secret) },
+		Provide:   func(string) (string, bool) { return "", false },
+		MayTunnel: d.isTarget,
+	})
+	d.mesh.Learn(d.config.Seeds)
+	d.dialer = rosepeer.NewTunnelDialer(d.config.Dialer, func() *rosepeer.Mesh { return d.mesh })
+}
+
+// ServePeers accepts peers from listener until it is closed.
+func (d *Daemon) ServePeers(listener net.Listener) error {
+	server := &http.Server{
+		Handler:           d.mesh.Handler(),
+		ReadHeaderTimeout: peerHeaderTimeout,
+		TLSConfig:         d.config.PeerTLS,
+	}
+	if d.config.PeerTLS != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
+
+// followRoster learns of peers from the platform's list, which lags and may
+// be out of reach: a member counts only once it was heard.
+func (d *Daemon) followRoster(ctx context.Context) {
+	if d.config.Roster == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		members, err := d.config.Roster.Members(ctx)
+		if err == nil {
+			d.mesh.Learn(members)
+		} else if ctx.Err() == nil {
+			klog.InfoS("VM list not read", "proxy", d.config.Name, "err", err)
+		}
+		timer := time.NewTimer(rosterInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// peerEvent acts on what a peer told.
+func (d *Daemon) peerEvent(event rosepeer.Event) {
+	switch {
+	case event.Lead != nil:
+		d.takeLead(*event.Lead)
+	case event.Member.Proxy != "":
+		klog.InfoS("peer changed", "proxy", d.config.Name, "peer", event.Member.Proxy, "zone", event.Member.Zone, "state", event.State)
+	}
+}
+
+// takeLead routes to a new primary before the own watch sees it.
+func (d *Daemon) takeLead(lead rosewire.Lead) {
+	d.mu.RLock()
+	b := d.backends[lead.Database]
+	d.mu.RUnlock()
+	history, err := rosemary.ParseHistory(lead.History)
+	if b == nil || err != nil {
+		return
+	}
+	b.group.Note(rosegroup.Fact{Status: rosemary.Status{
+		Target:   rosemary.TargetID(lead.Target),
+		Term:     lead.Term,
+		Position: rosemary.Position{LogTerm: lead.Term, Offset: lead.Offset},
+		Role:     rosemary.RolePrimary,
+		Primary:  rosemary.TargetID(lead.Target),
+		History:  history,
+	}})
+}
+
+// announce tells the peers of a new primary.
+func (d *Daemon) announce(database string, status rosemary.Status) {
+	d.mesh.Announce(rosewire.Lead{
+		Database: database,
+		Target:   string(status.Target),
+		Term:     status.Term,
+		Offset:   status.Position.Offset,
+		History:  status.History.String(),
+	})
+}
+
+// isTarget reports whether address is that of a target in force.
+func (d *Daemon) isTarget(address string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, database := range d.content.Databases {
+		for _, t := range database.Targets {
+			if t.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d *Daemon) newSupervisor(b *backend) *rosesupervisor.Supervisor {
+	database := b.database.Name
+	return rosesupervisor.New(rosesupervisor.Config{
+		Self:  d.config.Name,
+		Group: b.group,
+		Control: func(id rosemary.TargetID) rosemary.TargetControl {
+			return rosepool.NewCommander(b.pools[id])
+		},
+		Store: d.config.Store,
+		Rank: func() int {
+			return rosepeer.Rank("supervise/"+database, d.mesh.Live(), d.config.Name)
+		},
+		Announce: func(status rosemary.Status) { d.announce(database, status) },
+		Leaving:  d.leaving,
+		OnPromotion: func(took time.Duration) {
+			d.metrics.Set().GetOrCreateHistogram(`rosemary_promotion_seconds{database="` + database + `"}`).Update(took.Seconds())
+		},
+	})
+}
+
+// Move makes another target of a database its primary.
+func (d *Daemon) Move(ctx context.Context, database string, to rosemary.TargetID) (rosemary.TargetID, error) {
+	d.mu.RLock()
+	b := d.backends[database]
+	d.mu.RUnlock()
+	if b == nil {
+		return "", unknownDatabase(database)
+	}
+	return b.supervisor.Move(ctx, to)
+}
--- /dev/null
+++ b/internal/roseload/fault_store.go
@@ -0,0 +1,46 @@
+package roseload
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
+)
+
+// pausedFor is how long a paused supervisor is out of reach.
+const pausedFor = 3 * time.Second
+
+func init() {
+	addFault(fault{name: "store-down", strike: strikeStoreDown, heal: healStore})
+	addFault(fault{name: "store-lost-answers", strike: strikeLostAnswers, heal: healStore})
+	addFault(fault{name: "supervisor-paused", strike: strikePaused, heal: healNetwork, stopsWrites: true})
+}
+
+func strikeStoreDown(_ context.Context, f *faults) { f.run.stack.Platform.SetDown(true) }
+
+func strikeLostAnswers(_ context.Context, f *faults) { f.run.stack.Platform.SetLoseAnswers(true) }
+
+func healStore(f *faults) {
+	f.run.stack.Platform.SetDown(false)
+	f.run.stack.Platform.SetLoseAnswers(false)
+}
+
+// strikePaused takes away the proxy that would replace the primary, and then
+// the primary: the next supervisor has to act.
+func strikePaused(ctx context.Context, f *faults) {
+	var members []rosemary.Member
+	for _, p := range f.run.stack.Running() {
+		members = append(members, rosemary.Member{Proxy: rosemary.ProxyID(p.Name)})
+	}
+	first := string(rosepeer.Ranked("supervise/"+f.database(), members)[0].Proxy)
+	f.run.stack.Network.SetBlocked(func(from, to rosenet.Place) bool {
+		return from.Name == first || to.Name == first
+	})
+	f.tasks.Go(func() {
+		sleep(ctx, pausedFor)
+		healNetwork(f)
+	})
+	strikeCrash(ctx, f)
+}
--- a/internal/roseload/faults.go
+++ b/internal/roseload/faults.go
@@ -50,6 +50,7 @@
 	struckAt time.Time
 	flooding string
 	healing  sync.Once
+	tasks    sync.WaitGroup
 }
 
 func newFaults(r *run, names []string) (*faults, error) {
@@ -93,6 +94,7 @@
 				chosen.heal(f)
 			}
 		}
+		f.tasks.Wait()
 	})
 }
 
--- a/internal/rosestack/stack.go
+++ b/internal/rosestack/stack.go
@@ -11,12 +11,14 @@
 	"github.com/gravitational/trace"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosedaemon"
+	"github.com/rosemarywell/rosemarywell/internal/rosekv"
 	"github.com/rosemarywell/rosemarywell/internal/rosenet"
 	"github.com/rosemarywell/rosemarywell/internal/rosetarget"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
 	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
+	"github.com/rosemarywell/rosemarywell/pkg/rosestore"
 )
 
 // Config sets up a Stack.
@@ -36,8 +38,12 @@
 	Clusters map[string]*rosetarget.Cluster
 	Proxies  []*Proxy
 	Content  *rosebundle.Content
-	keys     *rosesession.Keys
-	mu       sync.Mutex
+	// Platform is the stand-in key-value service and VM list.
+	Platform     *rosekv.Server
+	platformAt   string
+	platformDone sync.WaitGroup
+	keys         *rosesession.Keys
+	mu           sync.Mutex
 }
 
 // Proxy is one running proxy of the stack.
@@ -47,6 +53,8 @@
 	Address  string
 	Daemon   *rosedaemon.Daemon
 	listener net.Listener
+	peers    net.Listener
+	store    *rosestore.Client
 	tasks    sync.WaitGroup
 	down     atomic.Bool
 }
@@ -67,6 +75,9 @@
 		return nil, err
 	}
 	s.keys = keys
+	if err := s.startPlatform(); err != nil {
+		return nil, err
+	}
 	if err := s.startTargets(); err != nil {
 		return nil, err
 	}
@@ -86,6 +97,36 @@
 	return s, nil
 }
 
+// platformPlace is where the platform's services are.
+var platformPlace = rosenet.Place{Name: "platform", Zone: "platform"}
+
+// rosterLag is how far the platform's VM list is behind.
+const rosterLag = 2 * time.Second
+
+func (s *Stack) startPlatform() error {
+	listener, err := s.Network.Listen(platformPlace, "")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.Platform = rosekv.NewServer(rosterLag)
+	s.platformAt = listener.Addr().String()
+	s.platformDone.Go(func() { s.Platform.Serve(listener) })
+	return nil
+}
+
+// listMembers gives the platform the list of VMs that run.
+func (s *Stack) listMembers() {
+	var members []rosemary.Member
+	for _, p := range s.Running() {
+		members = append(members, rosemary.Member{
+			Proxy:   rosemary.ProxyID(p.Name),
+			Zone:    rosemary.Zone(p.Zone),
+			Address: p.peers.Addr().String(),
+		})
+	}
+	s.Platform.SetMembers(members)
+}
+
 func (s *Stack) startTargets() error {
 	d := s.Config.Deployment
 	for i, name := range d.Databases {
@@ -156,33 +197,52 @@
 	d := s.Config.Deployment
 	p := &Proxy{Name: fmt.Sprintf("proxy-%d", i+1), Zone: d.Zones[i%len(d.Zones)]}
 	place := rosenet.Place{Name: p.Name, Zone: p.Zone}
-	p.Daemon = rosedaemon.New(rosedaemon.Config{
-		Name:       rosemary.ProxyID(p.Name),
-		Zone:       rosemary.Zone(p.Zone),
-		Proxies:    d.Proxies,
-		Dialer:     s.Network.Dialer(place),
-		Keys:       s.keys,
-		TargetUser: "rosemary",
-		Baseline:   s.Config.Baseline,
-	})
 	listener, err := s.Network.Listen(place, s.listenAddress(i))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	p.listener = listener
+	if p.peers, err = s.Network.Listen(place, s.peerAddress(i)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	dialer := s.Network.Dialer(place)
+	p.store = rosestore.NewClient(rosestore.Config{Address: s.platformAt, Dialer: dialer})
+	p.Daemon = rosedaemon.New(rosedaemon.Config{
+		Name:        rosemary.ProxyID(p.Name),
+		Zone:        rosemary.Zone(p.Zone),
+		Proxies:     d.Proxies,
+		Dialer:      dialer,
+		Keys:        s.keys,
+		TargetUser:  "rosemary",
+		PeerAddress: p.peers.Addr().String(),
+		Store:       p.store,
+		Roster:      rosestore.NewRoster(p.store),
+		Baseline:    s.Config.Baseline,
+	})
 	p.Address = listener.Addr().String()
 	p.Daemon.Apply(s.Content)
 	p.tasks.Go(func() { _ = p.Daemon.Serve(listener) })
+	p.tasks.Go(func() { _ = p.Daemon.ServePeers(p.peers) })
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if i < len(s.Proxies) {
 		s.Proxies[i] = p
 	} else {
 		s.Proxies = append(s.Proxies, p)
 	}
+	s.mu.Unlock()
+	s.listMembers()
 	return p, nil
 }
 
+// peerAddress returns where proxy i took peers before, as a VM that restarts
+// keeps its address.
+func (s *Stack) peerAddress(i int) string {
+	if i < len(s.Proxies) {
+		return s.Proxies[i].peers.Addr().String()
+	}
+	return ""
+}
+
 // Running lists the proxies that accept callers.
 func (s *Stack) Running() []*Proxy {
 	s.mu.Lock()
@@ -215,7 +275,14 @@
 func (p *Proxy) Kill() {
 	p.down.Store(true)
 	p.listener.Close()
+	p.stop()
+}
+
+// stop ends what remains of the proxy.
+func (p *Proxy) stop() {
 	p.Daemon.Close()
+	p.store.Close()
+	p.peers.Close()
 	p.tasks.Wait()
 }
 
@@ -224,8 +291,7 @@
 	p.down.Store(true)
 	p.listener.Close()
 	err := p.Daemon.Drain(ctx)
-	p.Daemon.Close()
-	p.tasks.Wait()
+	p.stop()
 	return err
 }
 
@@ -237,6 +303,8 @@
 	for _, c := range s.Clusters {
 		c.Close()
 	}
+	s.Platform.Close()
+	s.platformDone.Wait()
 	s.Network.Close()
 }
 
--- /dev/null
+++ b/pkg/rosepeer/mesh.go
@@ -0,0 +1,433 @@
+package rosepeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
+)
+
+const (
+	tickInterval = 25 * time.Millisecond
+	// redialPause separates attempts to connect to one neighbour.
+	redialPause = 250 * time.Millisecond
+	dialTimeout = time.Second
+	sendTimeout = 2 * time.Second
+	// linkSilence ends a link that carried nothing for this long.
+	linkSilence = 15 * time.Second
+	// queueMessages bounds the messages that wait for one link; a link that
+	// falls further behind is closed and opened again.
+	queueMessages = 512
+	// maxMessageBytes bounds one message.
+	maxMessageBytes = 2 << 20
+)
+
+// Config sets up a Mesh.
+type Config struct {
+	Node   NodeConfig
+	Dialer rosemary.Dialer
+	// TLS authenticates both ends; nil trusts the network.
+	TLS *tls.Config
+	// OnEvent is told of changes. It must not block.
+	OnEvent func(Event)
+	// OnCancel is told of a cancel request that a peer could not place.
+	OnCancel func(pid, secret uint32)
+	// Provide returns the part of the bundle with that digest, or the
+	// manifest in force for an empty one.
+	Provide func(digest string) (string, bool)
+	// MayTunnel reports whether a peer may reach that address through here.
+	MayTunnel func(address string) bool
+}
+
+// Mesh carries a node's messages. Its methods may be called concurrently.
+type Mesh struct {
+	config Config
+	client *http.Client
+	scheme string
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	node    *Node
+	links   map[rosemary.ProxyID]*link
+	dialing map[rosemary.ProxyID]time.Time
+	pulls   map[pullKey][]chan string
+	closed  bool
+	sent    Traffic
+}
+
+// Traffic counts what was sent to peers.
+type Traffic struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+type pullKey struct {
+	from   rosemary.ProxyID
+	digest string
+}
+
+// link is one open connection to a peer.
+type link struct {
+	id     rosemary.ProxyID
+	conn   *websocket.Conn
+	queue  chan []byte
+	cancel context.CancelFunc
+}
+
+// NewMesh returns a mesh; Run starts it and Handler serves peers.
+func NewMesh(config Config) *Mesh {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return config.Dialer.Dial(ctx, address)
+		},
+		TLSClientConfig:   config.TLS,
+		DisableKeepAlives: true,
+	}
+	m := &Mesh{
+		config:  config,
+		client:  &http.Client{Transport: transport},
+		scheme:  "ws://",
+		node:    NewNode(config.Node),
+		links:   make(map[rosemary.ProxyID]*link),
+		dialing: make(map[rosemary.ProxyID]time.Time),
+		pulls:   make(map[pullKey][]chan string),
+	}
+	if config.TLS != nil {
+		m.scheme = "wss://"
+	}
+	return m
+}
+
+// Handler serves peers.
+func (m *Mesh) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /peer", m.servePeer)
+	mux.HandleFunc("GET /tunnel", m.serveTunnel)
+	return mux
+}
+
+// Run keeps links to the neighbours until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.tick(ctx)
+		case <-ctx.Done():
+			m.close()
+			return
+		}
+	}
+}
+
+func (m *Mesh) close() {
+	m.mu.Lock()
+	m.closed = true
+	for _, l := range m.links {
+		l.cancel()
+	}
+	m.mu.Unlock()
+	m.tasks.Wait()
+}
+
+func (m *Mesh) tick(ctx context.Context) {
+	now := time.Now()
+	m.do(func(n *Node) ([]Envelope, []Event) { return n.Tick(now) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.node.Neighbours() {
+		if m.links[id] != nil || now.Sub(m.dialing[id]) < redialPause+dialTimeout {
+			continue
+		}
+		m.dialing[id] = now
+		if member, found := m.node.Find(id); found {
+			m.tasks.Go(func() { m.dial(ctx, member) })
+		}
+	}
+}
+
+// do runs a step of the node, sends what it decided and tells the events.
+func (m *Mesh) do(step func(*Node) ([]Envelope, []Event)) {
+	m.mu.Lock()
+	envelopes, events := step(m.node)
+	for _, e := range envelopes {
+		m.send(e)
+	}
+	m.mu.Unlock()
+	for _, e := range events {
+		m.config.OnEvent(e)
+	}
+}
+
+// send puts a message in the queue of its link. The lock is held.
+func (m *Mesh) send(e Envelope) {
+	l := m.links[e.To]
+	if l == nil {
+		return
+	}
+	body, err := cbor.Marshal(e.Message)
+	if err != nil {
+		return
+	}
+	select {
+	case l.queue <- body:
+		m.sent.Messages++
+		m.sent.Bytes += uint64(len(body))
+	default:
+		l.cancel()
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, member rosemary.Member) {
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialing, m.scheme+member.Address+"/peer", &websocket.DialOptions{HTTPClient: m.client})
+	if err != nil {
+		return
+	}
+	m.carry(ctx, conn, member.Proxy)
+}
+
+func (m *Mesh) servePeer(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	m.carry(r.Context(), conn, certifiedName(r))
+}
+
+// certifiedName returns the peer's name by its certificate, if it has one.
+func certifiedName(r *http.Request) rosemary.ProxyID {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return ""
+	}
+	return rosemary.ProxyID(r.TLS.PeerCertificates[0].Subject.CommonName)
+}
+
+// carry exchanges messages over conn until it ends. A name given must be the
+// peer's.
+func (m *Mesh) carry(ctx context.Context, conn *websocket.Conn, name rosemary.ProxyID) {
+	conn.SetReadLimit(maxMessageBytes)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer conn.CloseNow()
+	m.mu.Lock()
+	hello := m.node.Hello()
+	m.mu.Unlock()
+	if write(ctx, conn, hello) != nil {
+		return
+	}
+	first, err := read(ctx, conn)
+	if err != nil || first.Hello == nil || name != "" && first.Hello.Proxy != string(name) {
+		return
+	}
+	l := &link{id: rosemary.ProxyID(first.Hello.Proxy), conn: conn, queue: make(chan []byte, queueMessages), cancel: cancel}
+	if !m.attach(l) {
+		return
+	}
+	defer m.detach(l)
+	m.tasks.Go(func() { l.write(ctx) })
+	m.receive(l.id, first)
+	m.mu.Lock()
+	m.send(Envelope{l.id, m.node.Introduction()})
+	m.mu.Unlock()
+	for {
+		message, err := read(ctx, conn)
+		if err != nil {
+			return
+		}
+		m.receive(l.id, message)
+	}
+}
+
+// attach makes l the link to its peer, in place of an older one.
+func (m *Mesh) attach(l *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.links[l.id] = l
+	return true
+}
+
+func (m *Mesh) detach(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[l.id] == l {
+		delete(m.links, l.id)
+	}
+}
+
+func (l *link) write(ctx context.Context) {
+	for {
+		select {
+		case body := <-l.queue:
+			sending, cancel := context.WithTimeout(ctx, sendTimeout)
+			err := l.conn.Write(sending, websocket.MessageBinary, body)
+			cancel()
+			if err != nil {
+				l.cancel()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func write(ctx context.Context, conn *websocket.Conn, message rosewire.Message) error {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, body)
+}
+
+func read(ctx context.Context, conn *websocket.Conn) (rosewire.Message, error) {
+	var message rosewire.Message
+	ctx, cancel := context.WithTimeout(ctx, linkSilence)
+	defer cancel()
+	_, body, err := conn.Read(ctx)
+	if err != nil {
+		return message, err
+	}
+	return message, trace.Wrap(cbor.Unmarshal(body, &message))
+}
+
+func (m *Mesh) receive(from rosemary.ProxyID, message rosewire.Message) {
+	switch {
+	case message.Cancel != nil:
+		m.config.OnCancel(uint32(message.Cancel.ProcessID), uint32(message.Cancel.Secret))
+	case message.Pull != nil:
+		body, _ := m.config.Provide(message.Pull.Digest)
+		answer := rosewire.Message{Content: &rosewire.Content{Digest: message.Pull.Digest, Body: body}}
+		m.mu.Lock()
+		m.send(Envelope{from, answer})
+		m.mu.Unlock()
+	case message.Content != nil:
+		m.deliver(from, *message.Content)
+	default:
+		now := time.Now()
+		m.do(func(n *Node) ([]Envelope, []Event) { return n.Receive(now, from, message) })
+	}
+}
+
+func (m *Mesh) deliver(from rosemary.ProxyID, content rosewire.Content) {
+	key := pullKey{from, content.Digest}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, waiting := range m.pulls[key] {
+		waiting <- content.Body
+	}
+	delete(m.pulls, key)
+}
+
+// Pull asks a peer for a part of its bundle. Errors are trace.NotFound when it
+// lacks the part, and trace.ConnectionProblem.
+func (m *Mesh) Pull(ctx context.Context, from rosemary.ProxyID, digest string) (string, error) {
+	answer := make(chan string, 1)
+	key := pullKey{from, digest}
+	m.mu.Lock()
+	if m.links[from] == nil {
+		m.mu.Unlock()
+		return "", trace.ConnectionProblem(nil, "no link to %s", from)
+	}
+	m.pulls[key] = append(m.pulls[key], answer)
+	m.send(Envelope{from, rosewire.Message{Pull: &rosewire.Pull{Digest: digest}}})
+	m.mu.Unlock()
+	select {
+	case body := <-answer:
+		if body == "" {
+			return "", trace.NotFound("%s has no part %q", from, digest)
+		}
+		return body, nil
+	case <-ctx.Done():
+		m.mu.Lock()
+		delete(m.pulls, key)
+		m.mu.Unlock()
+		return "", trace.ConnectionProblem(ctx.Err(), "pull from %s", from)
+	}
+}
+
+// Cancel passes a cancel request to every linked peer.
+func (m *Mesh) Cancel(pid, secret uint32) {
+	message := rosewire.Message{Cancel: &rosewire.Cancel{ProcessID: uint64(pid), Secret: uint64(secret)}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id := range m.links {
+		m.send(Envelope{id, message})
+	}
+}
+
+// Announce passes on a change of a primary.
+func (m *Mesh) Announce(lead rosewire.Lead) {
+	m.change(func(n *Node) { n.Announce(lead) })
+}
+
+// SetVersion records the version of the bundle in force here.
+func (m *Mesh) SetVersion(version uint64) {
+	m.change(func(n *Node) { n.SetVersion(version) })
+}
+
+// Leave tells the peers that this proxy shuts down.
+func (m *Mesh) Leave() {
+	m.change(func(n *Node) { n.Leave() })
+}
+
+// Learn takes in members from settings or the platform's list.
+func (m *Mesh) Learn(members []rosemary.Member) {
+	m.change(func(n *Node) { n.Learn(time.Now(), members) })
+}
+
+// change changes the node and sends what follows from it at once.
+func (m *Mesh) change(step func(*Node)) {
+	m.do(func(n *Node) ([]Envelope, []Event) {
+		step(n)
+		return n.flush(), nil
+	})
+}
+
+// Live returns the members that take part, this one included.
+func (m *Mesh) Live() []rosemary.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Live()
+}
+
+// View lists what is known of every other member.
+func (m *Mesh) View() []MemberView {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.View()
+}
+
+// Linked lists the peers that this proxy has a link to.
+func (m *Mesh) Linked() []rosemary.ProxyID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]rosemary.ProxyID, 0, len(m.links))
+	for id := range m.links {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Sent returns what was sent to peers so far.
+func (m *Mesh) Sent() Traffic {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sent
+}
--- /dev/null
+++ b/pkg/rosepeer/rank.go
@@ -0,0 +1,76 @@
+// Package rosepeer holds the membership between proxies. Node decides, without
+// sockets or goroutines, whom to watch and what to pass on; Mesh carries its
+// messages over WebSocket.
+package rosepeer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// score is the rendezvous weight of a proxy for a key.
+func score(key string, id rosemary.ProxyID) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(key))
+	hash.Write([]byte{0})
+	hash.Write([]byte(id))
+	return mix(hash.Sum64())
+}
+
+// mix spreads the bits of a hash, whose high bits differ little for short
+// keys.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Ranked returns members in the rendezvous order of key. A member that comes
+// or goes moves no other.
+func Ranked(key string, members []rosemary.Member) []rosemary.Member {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b rosemary.Member) int {
+		return cmp.Or(cmp.Compare(score(key, b.Proxy), score(key, a.Proxy)), cmp.Compare(a.Proxy, b.Proxy))
+	})
+	return ranked
+}
+
+// Rank returns the place of id in the rendezvous order of key, or the number
+// of members when it isn't among them.
+func Rank(key string, members []rosemary.Member, id rosemary.ProxyID) int {
+	own, rank, found := score(key, id), 0, false
+	for _, m := range members {
+		other := score(key, m.Proxy)
+		switch {
+		case m.Proxy == id:
+			found = true
+		case other > own || other == own && m.Proxy < id:
+			rank++
+		}
+	}
+	if !found {
+		return len(members)
+	}
+	return rank
+}
+
+// Homes returns the proxies that serve a database: the first of each of its
+// zones, and then the first of all, up to size.
+func Homes(database string, zones []rosemary.Zone, members []rosemary.Member, size int) []rosemary.Member {
+	ranked := Ranked("home/"+database, members)
+	var homes []rosemary.Member
+	for _, z := range zones {
+		at := slices.IndexFunc(ranked, func(m rosemary.Member) bool { return m.Zone == z })
+		if at >= 0 {
+			homes = append(homes, ranked[at])
+			ranked = slices.Delete(ranked, at, at+1)
+		}
+	}
+	missing := max(size-len(homes), 0)
+	return append(homes, ranked[:min(missing, len(ranked))]...)
+}
--- /dev/null
+++ b/pkg/rosesupervisor/decide.go
@@ -0,0 +1,139 @@
+// Package rosesupervisor keeps a database group led: it decides when a primary
+// has to be replaced, fences and promotes, and brings stray targets back. Any
+// number of supervisors may act on one group at once: the fences at the
+// targets alone keep writes safe, and a supervisor that dies half-way leaves
+// nothing that another can't finish.
+package rosesupervisor
+
+import (
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// Need is what a group lacks.
+type Need int
+
+// Needs of a group.
+const (
+	// NeedNothing is a led group whose targets all follow.
+	NeedNothing Need = iota
+	// NeedFollow is a target that doesn't follow the primary.
+	NeedFollow
+	// NeedMove is a primary that is leaving.
+	NeedMove
+	// NeedPrimary is a group whose primary is gone.
+	NeedPrimary
+	// NeedReunion is a group whose primary answers, but no longer reaches
+	// the targets that it needs to confirm a write.
+	NeedReunion
+)
+
+// Delays before a need is acted on, so that a passing state isn't.
+const (
+	followAfter  = 100 * time.Millisecond
+	moveAfter    = 500 * time.Millisecond
+	reunionAfter = time.Second
+	orphanAfter  = 200 * time.Millisecond
+)
+
+// Assess returns what the group lacks, and how long that has to last before
+// it is acted on. Replicas are the witnesses: a primary is given up only when
+// so many of them say that its log no longer reaches them that it can't
+// confirm a write any more.
+func Assess(group rosemary.Group, view rosegroup.View, leaving func(rosemary.TargetID) bool) (Need, time.Duration) {
+	cutOff, followers := witnesses(view)
+	enough := cutOff >= group.FenceQuorum()
+	switch {
+	case !view.HasPrimary && view.Term > 0 && reachable(view) >= group.FenceQuorum():
+		return NeedPrimary, orphanAfter
+	case !view.HasPrimary:
+		return NeedNothing, 0
+	case view.Primary.Reach.Down() && enough:
+		return NeedPrimary, 0
+	case view.Primary.Reach.Down():
+		return NeedNothing, 0
+	case enough && !followers:
+		return NeedReunion, reunionAfter
+	case stray(view):
+		return NeedFollow, followAfter
+	case leaving(view.Primary.ID) || view.Primary.Status.Leaving:
+		return NeedMove, moveAfter
+	}
+	return NeedNothing, 0
+}
+
+// witnesses counts the reachable targets beside the primary that its log
+// doesn't reach, and tells whether it reaches any.
+func witnesses(view rosegroup.View) (int, bool) {
+	cutOff, followers := 0, false
+	for _, t := range view.Targets {
+		if t.ID == view.Primary.ID || !t.Seen || t.Reach.Down() {
+			continue
+		}
+		if t.Status.Streaming && t.Status.Role == rosemary.RoleReplica {
+			followers = true
+		} else {
+			cutOff++
+		}
+	}
+	return cutOff, followers
+}
+
+func reachable(view rosegroup.View) int {
+	count := 0
+	for _, t := range view.Targets {
+		if t.Seen && !t.Reach.Down() {
+			count++
+		}
+	}
+	return count
+}
+
+// stray reports whether a reachable target doesn't follow the primary.
+func stray(view rosegroup.View) bool {
+	for _, t := range view.Targets {
+		if isStray(t, view) {
+			return true
+		}
+	}
+	return false
+}
+
+func isStray(t rosegroup.TargetView, view rosegroup.View) bool {
+	if !t.Seen || t.Reach.Down() || t.ID == view.Primary.ID {
+		return false
+	}
+	s := t.Status
+	return s.Term < view.Term || s.Role != rosemary.RoleReplica || s.Primary != view.Primary.ID
+}
+
+// Choose returns the fenced target to promote. It is the greatest of a set
+// large enough to hold every acknowledged write; avoid is passed over if
+// another one qualifies, and wanted goes before others that do.
+func Choose(group rosemary.Group, fenced []rosemary.Status, avoid func(rosemary.TargetID) bool, wanted rosemary.TargetID) (rosemary.Status, bool) {
+	var best rosemary.Status
+	rank := -1
+	for _, candidate := range fenced {
+		covered := 0
+		for _, other := range fenced {
+			if candidate.Position.AtLeast(other.Position) {
+				covered++
+			}
+		}
+		if covered < group.FenceQuorum() {
+			continue
+		}
+		r := 1
+		if avoid(candidate.Target) {
+			r = 0
+		} else if candidate.Target == wanted {
+			r = 2
+		}
+		if r > rank || r == rank && candidate.Position.Compare(best.Position) > 0 {
+			best, rank = candidate, r
+		}
+	}
+	return best, rank >= 0
+}
