bundle: bring signed versions into force through one store key

Cause: proxies took their configuration from the process that started them. Change: content is split in sections and pages named by digest, under a small manifest that operators sign; it is accepted by compare-and-swap from its parent, watched by two proxies of a zone and pulled by the others from the peer that told of it.

A target may only go after it was leaving, and a leaving one no longer counts for a confirmation: a write acknowledged before outlasts it.

Found: a mutex held across network calls stops the paused clock; both such places now hold a token instead, and give up with their context.

--- a/internal/rosedaemon/backend.go
+++ b/internal/rosedaemon/backend.go
@@ -61,6 +61,7 @@
 	b.group = rosegroup.NewController(rosegroup.Config{
 		Group:    group,
 		Controls: controls,
+		Leaving:  d.leaving,
 		OnChange: func(change rosegroup.Change) { d.groupChanged(b, change) },
 	})
 	b.router = roseroute.NewRouter(roseroute.Config{
@@ -76,6 +77,18 @@
 	return b
 }
 
+// resize takes over limits that changed.
+func (b *backend) resize(d *Daemon, database rosebundle.Database) {
+	if b.database.Connections != database.Connections {
+		share := d.share(database.Group())
+		for id, p := range b.pools {
+			p.SetLimit(share)
+			b.queues[id].SetMaxInFlight(share)
+		}
+	}
+	b.database = database
+}
+
 func (b *backend) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -47,6 +47,8 @@
 	PeerTLS *tls.Config
 	// Seeds are peers known from settings.
 	Seeds []rosemary.Member
+	// Operators are the keys that a first bundle must be signed with.
+	Operators rosebundle.OperatorList
 	// Store and Roster are the platform's; either may be nil.
 	Store    rosemary.Store
 	Roster   rosemary.Roster
@@ -60,8 +62,12 @@
 	metrics *rosefront.Metrics
 	mesh    *rosepeer.Mesh
 	dialer  rosemary.Dialer
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	rollout *rosebundle.Rollout
+	// behind names a peer that has a newer bundle.
+	behind chan rosemary.ProxyID
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 
 	mu       sync.RWMutex
 	content  *rosebundle.Content
@@ -71,7 +77,9 @@
 // New returns a daemon that serves nothing until Apply and Serve.
 func New(config Config) *Daemon {
 	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
+	d.behind = make(chan rosemary.ProxyID, 1)
 	d.newMesh()
+	d.rollout = d.newRollout()
 	d.front = rosefront.NewServer(rosefront.Config{
 		Directory:            d,
 		Metrics:              d.metrics,
@@ -83,9 +91,11 @@
 		AcknowledgeOnPrimary: config.Baseline.AcknowledgeOnPrimary,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
+	d.ctx, d.cancel = ctx, cancel
 	d.tasks.Go(func() { d.mesh.Run(ctx) })
 	d.tasks.Go(func() { d.followRoster(ctx) })
+	d.tasks.Go(func() { d.followStore(ctx) })
+	d.tasks.Go(func() { d.followPeers(ctx) })
 	return d
 }
 
@@ -97,28 +107,38 @@
 		wanted[database.Name] = database
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.content = content
-	var gone []*backend
 	for name, b := range d.backends {
-		if next, kept := wanted[name]; !kept || !sameGroup(b.database, next) {
-			gone = append(gone, b)
+		if next, kept := wanted[name]; !kept || !sameTargets(b.database, next) {
+			d.retire(b)
 			delete(d.backends, name)
 		}
 	}
 	for name, database := range wanted {
-		if d.backends[name] == nil {
-			d.backends[name] = d.newBackend(database)
+		if b := d.backends[name]; b != nil {
+			b.resize(d, database)
+			continue
 		}
+		d.backends[name] = d.newBackend(database)
 	}
-	d.mu.Unlock()
-	for _, b := range gone {
+}
+
+// retireAfter is how long a database that changed its targets is still
+// followed for the requests that are in flight on it.
+const retireAfter = time.Minute
+
+// retire closes a backend once its requests have ended.
+func (d *Daemon) retire(b *backend) {
+	d.tasks.Go(func() {
+		wait(d.ctx, retireAfter)
 		b.close()
-	}
+	})
 }
 
-// sameGroup reports whether a change leaves a database's connections valid.
-func sameGroup(a, b rosebundle.Database) bool {
-	if a.Slots != b.Slots || a.Connections != b.Connections || len(a.Targets) != len(b.Targets) {
+// sameTargets reports whether a change leaves a database's connections valid.
+func sameTargets(a, b rosebundle.Database) bool {
+	if len(a.Targets) != len(b.Targets) {
 		return false
 	}
 	for i, t := range a.Targets {
--- a/internal/rosedaemon/peers.go
+++ b/internal/rosedaemon/peers.go
@@ -31,7 +31,7 @@
 		TLS:       d.config.PeerTLS,
 		OnEvent:   d.peerEvent,
 		OnCancel:  func(pid, secret uint32) { d.front.Cancel(pid, secret) },
-		Provide:   func(string) (string, bool) { return "", false },
+		Provide:   func(digest string) (string, bool) { return d.rollout.Provide(digest) },
 		MayTunnel: d.isTarget,
 	})
 	d.mesh.Learn(d.config.Seeds)
@@ -64,12 +64,7 @@
 		} else if ctx.Err() == nil {
 			klog.InfoS("VM list not read", "proxy", d.config.Name, "err", err)
 		}
-		timer := time.NewTimer(rosterInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		wait(ctx, rosterInterval)
 	}
 }
 
@@ -78,6 +73,8 @@
 	switch {
 	case event.Lead != nil:
 		d.takeLead(*event.Lead)
+	case event.Version > 0:
+		d.heardVersion(event)
 	case event.Member.Proxy != "":
 		klog.InfoS("peer changed", "proxy", d.config.Name, "peer", event.Member.Proxy, "zone", event.Member.Zone, "state", event.State)
 	}
--- a/internal/rosefront/request.go
+++ b/internal/rosefront/request.go
@@ -56,6 +56,9 @@
 
 func newRequest(c *caller, b *batch) *request {
 	r := &request{caller: c, batch: b, answer: &answer{caller: c}}
+	if router, found := c.server.config.Directory.Router(c.session.Database); found {
+		c.router = router
+	}
 	r.scan()
 	r.class, r.classError = r.findClass()
 	r.id = r.tags.Request
--- a/internal/rosestack/stack.go
+++ b/internal/rosestack/stack.go
@@ -82,6 +82,9 @@
 		return nil, err
 	}
 	s.Content = s.content()
+	if err := s.proposeFirst(ctx); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for _, name := range deployment.Databases {
@@ -94,7 +97,21 @@
 			return nil, err
 		}
 	}
-	return s, nil
+	return s, s.awaitReady(ctx)
+}
+
+// awaitReady waits until every proxy serves.
+func (s *Stack) awaitReady(ctx context.Context) error {
+	const poll = 10 * time.Millisecond
+	for _, p := range s.Proxies {
+		for !p.Daemon.Ready() {
+			time.Sleep(poll)
+			if ctx.Err() != nil {
+				return trace.ConnectionProblem(ctx.Err(), "%s did not get ready", p.Name)
+			}
+		}
+	}
+	return nil
 }
 
 // platformPlace is where the platform's services are.
@@ -216,11 +233,11 @@
 		TargetUser:  "rosemary",
 		PeerAddress: p.peers.Addr().String(),
 		Store:       p.store,
+		Operators:   s.operators(),
 		Roster:      rosestore.NewRoster(p.store),
 		Baseline:    s.Config.Baseline,
 	})
 	p.Address = listener.Addr().String()
-	p.Daemon.Apply(s.Content)
 	p.tasks.Go(func() { _ = p.Daemon.Serve(listener) })
 	p.tasks.Go(func() { _ = p.Daemon.ServePeers(p.peers) })
 	s.mu.Lock()
--- /dev/null
+++ b/pkg/rosebundle/manifest.go
@@ -0,0 +1,284 @@
+package rosebundle
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// pageThreshold is the number of sections above which the list of sections is
+// split in pages, so that a change moves one page and not the whole list.
+const pageThreshold = 64
+
+// pageCount is the number of pages of a split list.
+const pageCount = 64
+
+// Names of the sections that aren't databases.
+const (
+	sectionClasses   = "classes"
+	sectionTenants   = "tenants"
+	sectionOperators = "operators"
+	databasePrefix   = "database/"
+)
+
+// Manifest is a version of the bundle: small, signed, and naming everything
+// else by digest.
+type Manifest struct {
+	Version uint64
+	// Parent is the digest of the manifest that this one follows.
+	Parent string
+	// Operators is the digest of the section that lists the operators.
+	Operators string
+	// Pages are the digests of the lists of sections.
+	Pages      []string
+	Signatures []Signature `json:",omitempty"`
+}
+
+// Signature is one operator's consent.
+type Signature struct {
+	Operator string
+	// Value is an Ed25519 signature in base64.
+	Value string
+}
+
+// entry is a section in a page.
+type entry struct {
+	Name   string
+	Digest string
+}
+
+// Parts holds pages and sections by digest.
+type Parts map[string]string
+
+// Digest returns the content address of a text.
+func Digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// body returns what is signed and what the digest is of.
+func (m Manifest) body() string {
+	m.Signatures = nil
+	text, _ := json.Marshal(m)
+	return string(text)
+}
+
+// Digest returns the manifest's content address, without its signatures.
+func (m Manifest) Digest() string { return Digest(m.body()) }
+
+// Encode returns the manifest as text, signatures included.
+func (m Manifest) Encode() string {
+	text, _ := json.Marshal(m)
+	return string(text)
+}
+
+// DecodeManifest reads what Encode writes. The error is a trace.BadParameter.
+func DecodeManifest(text string) (Manifest, error) {
+	var m Manifest
+	if err := json.Unmarshal([]byte(text), &m); err != nil {
+		return Manifest{}, trace.BadParameter("not a bundle manifest: %v", err)
+	}
+	return m, nil
+}
+
+// WithSignature returns a copy signed by an operator.
+func (m Manifest) WithSignature(operator string, key ed25519.PrivateKey) Manifest {
+	value := base64.StdEncoding.EncodeToString(ed25519.Sign(key, []byte(m.body())))
+	kept := slices.DeleteFunc(slices.Clone(m.Signatures), func(s Signature) bool { return s.Operator == operator })
+	m.Signatures = append(kept, Signature{operator, value})
+	return m
+}
+
+// signers returns the operators of list whose signatures hold.
+func (m Manifest) signers(list []Operator) []string {
+	var names []string
+	for _, s := range m.Signatures {
+		value, err := base64.StdEncoding.DecodeString(s.Value)
+		at := slices.IndexFunc(list, func(o Operator) bool { return o.Name == s.Operator })
+		if err != nil || at < 0 || slices.Contains(names, s.Operator) {
+			continue
+		}
+		key, err := list[at].Key()
+		if err == nil && ed25519.Verify(key, []byte(m.body()), value) {
+			names = append(names, s.Operator)
+		}
+	}
+	return names
+}
+
+// SignedBy returns a trace.AccessDenied unless enough of the operators in
+// force signed.
+func (m Manifest) SignedBy(operators OperatorList) error {
+	signers := m.signers(operators.Operators)
+	if len(signers) < max(operators.Signatures, 1) {
+		return trace.AccessDenied("bundle %d has the valid signatures of %v, and needs %d: have more operators run rosemary bundle sign",
+			m.Version, signers, max(operators.Signatures, 1))
+	}
+	return nil
+}
+
+// OperatorList is the section about operators.
+type OperatorList struct {
+	Operators  []Operator
+	Signatures int
+}
+
+// Build splits content in parts and returns the unsigned manifest that follows
+// parent; a zero parent makes the first version.
+func Build(content *Content, parent Manifest) (Manifest, Parts) {
+	sections := make(map[string]string)
+	put := func(name string, value any) {
+		text, _ := json.Marshal(value)
+		sections[name] = string(text)
+	}
+	put(sectionClasses, content.Classes)
+	put(sectionTenants, content.Tenants)
+	put(sectionOperators, OperatorList{content.Operators, content.Signatures})
+	for _, d := range content.Databases {
+		put(databasePrefix+d.Name, d)
+	}
+	parts := make(Parts)
+	pages := make([][]entry, 1)
+	if len(sections) > pageThreshold {
+		pages = make([][]entry, pageCount)
+	}
+	for name, text := range sections {
+		digest := Digest(text)
+		parts[digest] = text
+		at := pageOf(name, len(pages))
+		pages[at] = append(pages[at], entry{name, digest})
+	}
+	m := Manifest{Version: parent.Version + 1, Operators: Digest(sections[sectionOperators])}
+	if parent.Version > 0 {
+		m.Parent = parent.Digest()
+	}
+	for _, page := range pages {
+		slices.SortFunc(page, func(a, b entry) int { return strings.Compare(a.Name, b.Name) })
+		text, _ := json.Marshal(page)
+		digest := Digest(string(text))
+		parts[digest] = string(text)
+		m.Pages = append(m.Pages, digest)
+	}
+	return m, parts
+}
+
+func pageOf(name string, pages int) int {
+	hash := fnv.New32a()
+	hash.Write([]byte(name))
+	return int(hash.Sum32() % uint32(pages))
+}
+
+// Missing returns the digests of the parts that aren't there yet: first pages,
+// then, once these are there, sections.
+func (m Manifest) Missing(parts Parts) ([]string, error) {
+	var missing []string
+	for _, digest := range append([]string{m.Operators}, m.Pages...) {
+		if _, ok := parts[digest]; !ok {
+			missing = append(missing, digest)
+		}
+	}
+	if len(missing) > 0 {
+		return missing, nil
+	}
+	entries, err := m.entries(parts)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if _, ok := parts[e.Digest]; !ok {
+			missing = append(missing, e.Digest)
+		}
+	}
+	return missing, nil
+}
+
+func (m Manifest) entries(parts Parts) ([]entry, error) {
+	var entries []entry
+	for _, digest := range m.Pages {
+		var page []entry
+		if err := json.Unmarshal([]byte(parts[digest]), &page); err != nil {
+			return nil, trace.BadParameter("page %s of bundle %d can't be read", short(digest), m.Version)
+		}
+		entries = append(entries, page...)
+	}
+	return entries, nil
+}
+
+// OperatorList returns the operators that the manifest lists.
+func (m Manifest) OperatorList(parts Parts) (OperatorList, error) {
+	var list OperatorList
+	if err := json.Unmarshal([]byte(parts[m.Operators]), &list); err != nil {
+		return list, trace.BadParameter("the operators of bundle %d can't be read", m.Version)
+	}
+	return list, nil
+}
+
+// Content puts the parts together. The error is a trace.BadParameter, or a
+// *FaultsError.
+func (m Manifest) Content(parts Parts) (*Content, error) {
+	entries, err := m.entries(parts)
+	if err != nil {
+		return nil, err
+	}
+	content := &Content{}
+	for _, e := range entries {
+		if err := content.add(e, parts[e.Digest]); err != nil {
+			return nil, trace.BadParameter("section %s of bundle %d can't be read: %v", e.Name, m.Version, err)
+		}
+	}
+	slices.SortFunc(content.Databases, func(a, b Database) int { return strings.Compare(a.Name, b.Name) })
+	if faults := content.Check(); len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	return content, nil
+}
+
+func (c *Content) add(e entry, text string) error {
+	switch e.Name {
+	case sectionClasses:
+		return json.Unmarshal([]byte(text), &c.Classes)
+	case sectionTenants:
+		return json.Unmarshal([]byte(text), &c.Tenants)
+	case sectionOperators:
+		var list OperatorList
+		err := json.Unmarshal([]byte(text), &list)
+		c.Operators, c.Signatures = list.Operators, list.Signatures
+		return err
+	}
+	var d Database
+	if err := json.Unmarshal([]byte(text), &d); err != nil {
+		return err
+	}
+	c.Databases = append(c.Databases, d)
+	return nil
+}
+
+// used returns the parts that the manifest names.
+func (m Manifest) used(parts Parts) Parts {
+	kept := Parts{m.Operators: parts[m.Operators]}
+	for _, digest := range m.Pages {
+		kept[digest] = parts[digest]
+	}
+	entries, _ := m.entries(parts)
+	for _, e := range entries {
+		kept[e.Digest] = parts[e.Digest]
+	}
+	return kept
+}
+
+func short(digest string) string {
+	return digest[:min(len(digest), 12)]
+}
+
+// String names the manifest by version and digest.
+func (m Manifest) String() string {
+	return strconv.FormatUint(m.Version, 10) + "@" + short(m.Digest())
+}
--- a/pkg/rosegroup/controller.go
+++ b/pkg/rosegroup/controller.go
@@ -15,6 +15,8 @@
 	Group rosemary.Group
 	// Controls drives the targets, one each, for watching.
 	Controls map[rosemary.TargetID]rosemary.TargetControl
+	// Leaving tells which targets are on their way out; nil means none.
+	Leaving func(rosemary.TargetID) bool
 	// WatchWait is how long a target holds a watch without news.
 	WatchWait time.Duration
 	// OnChange is called after a change of terms, roles or reachability.
@@ -75,7 +77,7 @@
 	}
 	return &Controller{
 		config:  config,
-		facts:   NewFacts(config.Group),
+		facts:   NewFacts(config.Group, config.Leaving),
 		reach:   make(map[rosemary.TargetID]Reach),
 		changed: make(chan struct{}),
 	}
--- a/pkg/rosegroup/facts.go
+++ b/pkg/rosegroup/facts.go
@@ -26,11 +26,18 @@
 	confirmed rosemary.Position
 	history   rosemary.History
 	ages      ages
+	// leaving tells which targets are on their way out.
+	leaving func(rosemary.TargetID) bool
 }
 
 // NewFacts returns an empty set of facts about group.
-func NewFacts(group rosemary.Group) *Facts {
-	return &Facts{group: group, byTarget: make(map[rosemary.TargetID]Fact)}
+// Targets that leaving names don't count for a confirmation, unless they lead:
+// what is acknowledged must outlast their removal.
+func NewFacts(group rosemary.Group, leaving func(rosemary.TargetID) bool) *Facts {
+	if leaving == nil {
+		leaving = func(rosemary.TargetID) bool { return false }
+	}
+	return &Facts{group: group, byTarget: make(map[rosemary.TargetID]Fact), leaving: leaving}
 }
 
 // Note takes in a fact and reports whether it told anything new. Facts may
@@ -106,7 +113,8 @@
 	}
 	var offsets []uint64
 	for _, fact := range f.byTarget {
-		if fact.Term == primary.Term && fact.Position.LogTerm == primary.Term {
+		counts := fact.Target == primary.Target || !f.leaving(fact.Target)
+		if counts && fact.Term == primary.Term && fact.Position.LogTerm == primary.Term {
 			offsets = append(offsets, fact.Position.Offset)
 		}
 	}
--- a/pkg/rosesupervisor/supervisor.go
+++ b/pkg/rosesupervisor/supervisor.go
@@ -49,8 +49,8 @@
 	started time.Time
 	tasks   sync.WaitGroup
 
-	// acting is held by the one attempt that runs.
-	acting sync.Mutex
+	// acting holds one token while an attempt runs.
+	acting chan struct{}
 
 	need  Need
 	since time.Time
@@ -61,7 +61,7 @@
 	if config.OnPromotion == nil {
 		config.OnPromotion = func(time.Duration) {}
 	}
-	return &Supervisor{config: config}
+	return &Supervisor{config: config, acting: make(chan struct{}, 1)}
 }
 
 func (s *Supervisor) database() string { return s.config.Group.Group().Database }
@@ -102,8 +102,10 @@
 }
 
 func (s *Supervisor) act(ctx context.Context, need Need, view rosegroup.View) {
-	s.acting.Lock()
-	defer s.acting.Unlock()
+	if !s.begin(ctx) {
+		return
+	}
+	defer s.end()
 	var err error
 	switch need {
 	case NeedFollow:
@@ -122,14 +124,29 @@
 	}
 }
 
+// begin waits for the end of another attempt. It reports false when ctx ended
+// first.
+func (s *Supervisor) begin(ctx context.Context) bool {
+	select {
+	case s.acting <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Supervisor) end() { <-s.acting }
+
 // Move makes another target the primary: to if it is given and holds every
 // acknowledged write, else the best one. It returns the new primary.
 func (s *Supervisor) Move(ctx context.Context, to rosemary.TargetID) (rosemary.TargetID, error) {
 	if _, known := s.config.Group.Group().Find(to); to != "" && !known {
 		return "", trace.NotFound("database %s has no target %q", s.database(), to)
 	}
-	s.acting.Lock()
-	defer s.acting.Unlock()
+	if !s.begin(ctx) {
+		return "", trace.ConnectionProblem(ctx.Err(), "another attempt on %s is running", s.database())
+	}
+	defer s.end()
 	view, _ := s.config.Group.View()
 	if view.HasPrimary && view.Primary.ID == to {
 		return to, nil
