--- /dev/null
+++ b/cmd/rosemaryd/main.go
@@ -0,0 +1,18 @@
+// Command rosemaryd is one proxy. It runs on each entry VM.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosecommand"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	environment := rosecommand.Environment{Out: os.Stdout, Err: os.Stderr}
+	os.Exit(rosecommand.RunDaemon(ctx, environment, os.Args[1:]))
+}
--- a/internal/rosecommand/demo.go
+++ b/internal/rosecommand/demo.go
@@ -23,6 +23,7 @@
 	listen := flags.String("listen", "127.0.0.1:6432", "address of the first proxy; the others take the ports after it")
 	name := flags.String("deployment", "costa-rica", "costa-rica or guatemala")
 	span := flags.Duration("for", 0, "stop after this time; 0 runs until interrupted")
+	directory := flags.String("settings-dir", "", "run the stand-ins alone and write settings for rosemaryd there")
 	if err := parse(flags, environment, args); err != nil {
 		return err
 	}
@@ -30,11 +31,20 @@
 	if err != nil {
 		return usageError{err}
 	}
-	stack, err := rosestack.Start(ctx, rosestack.Config{Deployment: deployment, Listen: *listen})
+	stack, err := rosestack.Start(ctx, rosestack.Config{
+		Deployment:     deployment,
+		Listen:         *listen,
+		WithoutProxies: *directory != "",
+	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	defer stack.Close()
+	if *directory != "" {
+		if err := stack.WriteSettings(*directory); err != nil {
+			return err
+		}
+	}
 	printDemo(environment, stack)
 	if *span > 0 {
 		var cancel context.CancelFunc
@@ -47,16 +57,20 @@
 
 func printDemo(environment Environment, stack *rosestack.Stack) {
 	for _, p := range stack.Proxies {
-		fmt.Fprintf(environment.Out, "proxy=%s zone=%s address=%s\n", p.Name, p.Zone, p.Address)
+		fmt.Fprintf(environment.Out, "proxy=%s zone=%s address=%s admin=%s\n", p.Name, p.Zone, p.Address, p.AdminAddress)
 	}
 	for _, d := range stack.Content.Databases {
 		for _, t := range d.Targets {
 			fmt.Fprintf(environment.Out, "target=%s database=%s zone=%s address=%s\n", t.ID, d.Name, t.Zone, t.Address)
 		}
 	}
+	fmt.Fprintf(environment.Out, "store=%s\n", stack.PlatformAddress())
 	first := stack.Content
-	fmt.Fprintf(environment.Out, "ready address=%s database=%s user=%s\n",
-		stack.Proxies[0].Address, first.Databases[0].Name, first.Tenants[0].Name)
+	address := "none"
+	if len(stack.Proxies) > 0 {
+		address = stack.Proxies[0].Address
+	}
+	fmt.Fprintf(environment.Out, "ready address=%s database=%s user=%s\n", address, first.Databases[0].Name, first.Tenants[0].Name)
 }
 
 func stopDemo(stack *rosestack.Stack) error {
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -57,6 +57,11 @@
 
 // Daemon is one proxy.
 type Daemon struct {
+	// DrainAsked closes when an operator asks for a graceful shutdown.
+	DrainAsked chan struct{}
+
+	drainOnce sync.Once
+
 	config  Config
 	front   *rosefront.Server
 	metrics *rosefront.Metrics
@@ -72,11 +77,13 @@
 	mu       sync.RWMutex
 	content  *rosebundle.Content
 	backends map[string]*backend
+	unready  bool
 }
 
 // New returns a daemon that serves nothing until Apply and Serve.
 func New(config Config) *Daemon {
 	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
+	d.DrainAsked = make(chan struct{})
 	d.behind = make(chan rosemary.ProxyID, 1)
 	d.newMesh()
 	d.rollout = d.newRollout()
@@ -193,7 +200,14 @@
 func (d *Daemon) Ready() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return !d.front.Draining() && len(d.backends) > 0
+	return !d.unready && !d.front.Draining() && len(d.backends) > 0
+}
+
+// Unready makes the balancer send callers elsewhere.
+func (d *Daemon) Unready() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unready = true
 }
 
 // Drain ends the sessions at transaction borders. Nothing in flight is cut
--- a/internal/rosestack/stack.go
+++ b/internal/rosestack/stack.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 type Config struct {
 	Deployment Deployment
 	InMemory   bool
+	// WithoutProxies starts the stand-ins alone.
+	WithoutProxies bool
 	// Listen is where the first proxy listens; the others take the ports
 	// after it. Empty takes free ports.
 	Listen   string
@@ -54,9 +57,12 @@
 	Daemon   *rosedaemon.Daemon
 	listener net.Listener
 	peers    net.Listener
-	store    *rosestore.Client
-	tasks    sync.WaitGroup
-	down     atomic.Bool
+	admin    *http.Server
+	// AdminAddress is where operators' requests go.
+	AdminAddress string
+	store        *rosestore.Client
+	tasks        sync.WaitGroup
+	down         atomic.Bool
 }
 
 // startTimeout bounds the wait for a stack to serve.
@@ -70,7 +76,7 @@
 		Network:  rosenet.NewNetwork(rosenet.Config{Delay: deployment.delay, InMemory: config.InMemory}),
 		Clusters: make(map[string]*rosetarget.Cluster),
 	}
-	keys, err := rosesession.NewKeys([]byte("demonstration key, not a secret"))
+	keys, err := rosesession.NewKeys([]byte(demonstrationKey))
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +98,7 @@
 			return nil, err
 		}
 	}
-	for i := range deployment.Proxies {
+	for i := range s.proxies() {
 		if _, err := s.StartProxy(i); err != nil {
 			return nil, err
 		}
@@ -100,6 +106,13 @@
 	return s, s.awaitReady(ctx)
 }
 
+func (s *Stack) proxies() int {
+	if s.Config.WithoutProxies {
+		return 0
+	}
+	return s.Config.Deployment.Proxies
+}
+
 // awaitReady waits until every proxy serves.
 func (s *Stack) awaitReady(ctx context.Context) error {
 	const poll = 10 * time.Millisecond
@@ -240,6 +253,9 @@
 	p.Address = listener.Addr().String()
 	p.tasks.Go(func() { _ = p.Daemon.Serve(listener) })
 	p.tasks.Go(func() { _ = p.Daemon.ServePeers(p.peers) })
+	if err := s.serveAdmin(p, place); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	if i < len(s.Proxies) {
 		s.Proxies[i] = p
@@ -251,6 +267,17 @@
 	return p, nil
 }
 
+func (s *Stack) serveAdmin(p *Proxy, place rosenet.Place) error {
+	listener, err := s.Network.Listen(place, "")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	p.AdminAddress = listener.Addr().String()
+	p.admin = &http.Server{Handler: p.Daemon.Admin()}
+	p.tasks.Go(func() { _ = p.admin.Serve(listener) })
+	return nil
+}
+
 // peerAddress returns where proxy i took peers before, as a VM that restarts
 // keeps its address.
 func (s *Stack) peerAddress(i int) string {
@@ -300,6 +327,7 @@
 	p.Daemon.Close()
 	p.store.Close()
 	p.peers.Close()
+	_ = p.admin.Close()
 	p.tasks.Wait()
 }
 
