load: roll out, race and withhold bundles under load

Cause: the bundle's promises, in force everywhere and never back, were not checked. Change: six faults around bundles, and a report of the time to be in force on every proxy, of reversions, and of what a leaving target itself still served.

--- a/internal/rosecommand/load.go
+++ b/internal/rosecommand/load.go
@@ -46,7 +46,7 @@
 		For:        *span,
 		Seed:       *seed,
 		Rate:       *rate,
-		Faults:     strings.Split(*faults, "+"),
+		Faults:     roseload.SplitFaults(*faults),
 		Baseline:   policy,
 		Progress:   environment.Err,
 	})
--- a/internal/roseload/faults.go
+++ b/internal/roseload/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -163,3 +164,21 @@
 		return false
 	}
 }
+
+// SplitFaults splits names joined by "+"; a fault whose own name has one goes
+// before its parts.
+func SplitFaults(text string) []string {
+	var names []string
+	for name, f := range catalogue {
+		if strings.Contains(name, "+") && strings.Contains(text, f.name) {
+			names = append(names, name)
+			text = strings.Trim(strings.ReplaceAll(text, name, ""), "+")
+		}
+	}
+	for part := range strings.SplitSeq(text, "+") {
+		if part != "" {
+			names = append(names, part)
+		}
+	}
+	return names
+}
--- a/internal/roseload/report.go
+++ b/internal/roseload/report.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
 // Report is the outcome of a run.
@@ -31,6 +33,17 @@
 	// FailoverGapMs is the longest time between two acknowledged writes of
 	// the first database, around the fault.
 	FailoverGapMs float64
+	// BundleP50Seconds and BundleP99Seconds are the times from a bundle's
+	// acceptance to its being in force, over proxies.
+	BundleP50Seconds float64
+	BundleP99Seconds float64
+	// BundlesMissing counts the proxies that lacked a bundle at the end.
+	BundlesMissing int
+	// Reversions counts the proxies that went back to an older bundle.
+	Reversions int
+	// WorkAfterLeaving counts statements on a leaving target later than
+	// leavingTime after it was to get no new work.
+	WorkAfterLeaving int
 	// Fairness is Jain's index of what tenants got of their fair shares.
 	Fairness float64
 	Tenants  []TenantReport
@@ -50,7 +63,8 @@
 // Violations returns the number of broken promises.
 func (rep *Report) Violations() int {
 	return rep.AcknowledgedLost + rep.ReadYourWritesViolations + rep.StaleBeyondAge + rep.DoubleRuns +
-		rep.MixedTransactions + rep.WrongAnswers + rep.FalseNotRun + rep.NotLinearizable
+		rep.MixedTransactions + rep.WrongAnswers + rep.FalseNotRun + rep.NotLinearizable +
+		rep.BundlesMissing + rep.Reversions + rep.WorkAfterLeaving
 }
 
 func (r *run) report() *Report {
@@ -79,11 +93,28 @@
 	rep.WriteP50Ms, rep.WriteP99Ms = percentile(writes, 0.5), percentile(writes, 0.99)
 	rep.ReplicaReads, rep.ReplicaReadShare = r.replicaReads()
 	rep.FailoverGapMs = r.gap(operations)
+	times, missing := r.bundles.times()
+	rep.BundleP50Seconds, rep.BundleP99Seconds = percentile(times, 0.5)/1000, percentile(times, 0.99)/1000
+	rep.BundlesMissing, rep.Reversions = missing, r.bundles.reversions
+	rep.WorkAfterLeaving = r.workAfterLeaving()
 	rep.Tenants = r.tenantReports(operations)
 	rep.Fairness = r.fairness(rep.Tenants)
 	return rep
 }
 
+// leavingTime is how long a leaving target may still get new work.
+const leavingTime = 2 * time.Second
+
+// workAfterLeaving asks the leaving target itself what it served.
+func (r *run) workAfterLeaving() int {
+	for _, cluster := range r.stack.Clusters {
+		if t := cluster.Target(rosemary.TargetID(r.left.id)); t != nil {
+			return t.StatementsAfter(r.left.since.Add(leavingTime))
+		}
+	}
+	return 0
+}
+
 func (rep *Report) count(o Operation) {
 	if o.Kind == KindRead {
 		rep.Reads++
--- a/internal/roseload/run.go
+++ b/internal/roseload/run.go
@@ -55,6 +55,9 @@
 	unsent  atomic.Int64
 	seeds   atomic.Uint64
 	fault   *faults
+	bundles *bundles
+	// left names the target that is leaving, and since when.
+	left leavingTarget
 
 	mu   sync.Mutex
 	idle map[string][]*session
@@ -79,13 +82,20 @@
 	if r.fault, err = newFaults(r, config.Faults); err != nil {
 		return nil, err
 	}
+	r.bundles = newBundles(r)
 	r.seeds.Store(config.Seed)
 	time.Sleep(warmUp)
-	if err := r.load(ctx); err != nil {
-		return nil, err
-	}
+	observing, stop := context.WithCancel(ctx)
+	var observer sync.WaitGroup
+	observer.Go(func() { r.bundles.observe(observing) })
+	err = r.load(ctx)
 	r.fault.heal()
 	time.Sleep(settleTime)
+	stop()
+	observer.Wait()
+	if err != nil {
+		return nil, err
+	}
 	return r.report(), nil
 }
 
@@ -200,3 +210,16 @@
 }
 
 func (r *run) nextValue() int64 { return r.value.Add(1) }
+
+// leavingTarget is a target that is to get no new work.
+type leavingTarget struct {
+	id    string
+	since time.Time
+}
+
+// leaving notes that a target is on its way out.
+func (r *run) leaving(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = leavingTarget{id, time.Now()}
+}
--- a/internal/roseload/run_test.go
+++ b/internal/roseload/run_test.go
@@ -27,7 +27,7 @@
 			For:        9 * time.Second,
 			Seed:       seed,
 			Rate:       rate,
-			Faults:     strings.Split(faults, "+"),
+			Faults:     roseload.SplitFaults(faults),
 			Baseline:   baseline,
 			InMemory:   true,
 		})
@@ -35,6 +35,8 @@
 	})
 	t.Logf("deployment=%s faults=%s seed=%d acknowledged=%d unknown=%d notrun=%d gap=%.0fms",
 		deployment, faults, seed, report.Acknowledged, report.Unknown, report.NotRun, report.FailoverGapMs)
+	t.Logf("bundle p50=%.3fs p99=%.3fs missing=%d reversions=%d work-after-leaving=%d",
+		report.BundleP50Seconds, report.BundleP99Seconds, report.BundlesMissing, report.Reversions, report.WorkAfterLeaving)
 	return report
 }
 
@@ -60,6 +62,14 @@
 	"zone-cut+store-lost-answers",
 	"primary-move+replica-lag",
 	"primary-move+proxy-kill",
+	"bundle-rollout",
+	"bundle-race",
+	"target-leaving",
+	"proxy-restart",
+	"zone-cut+bundle",
+	"store-down-at-boot",
+	"bundle-rollout+primary-crash",
+	"bundle-race+store-lost-answers",
 }
 
 func TestHistoriesKeepEveryPromise(t *testing.T) {
--- a/internal/rosetarget/inspect.go
+++ b/internal/rosetarget/inspect.go
@@ -40,3 +40,29 @@
 	}
 	return puts
 }
+
+// maxServed bounds the statements whose times are kept.
+const maxServed = 100_000
+
+func (t *Target) noteStatement() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.servedAt) >= maxServed {
+		t.servedAt = t.servedAt[maxServed/2:]
+	}
+	t.servedAt = append(t.servedAt, time.Now())
+}
+
+// StatementsAfter returns the number of statements on tables that began after
+// at.
+func (t *Target) StatementsAfter(at time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, served := range t.servedAt {
+		if served.After(at) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/rosetarget/session.go
+++ b/internal/rosetarget/session.go
@@ -382,6 +382,7 @@
 	case <-ctx.Done():
 		return nil, newError("57014", "canceling statement due to user request")
 	}
+	s.target.noteStatement()
 	finished := sleepFor(ctx, s.target.cost(st))
 	<-s.target.slots
 	if !finished {
--- a/internal/rosetarget/target.go
+++ b/internal/rosetarget/target.go
@@ -58,6 +58,8 @@
 	running   *run
 
 	listenAddress string
+	// servedAt holds the times of the statements that held a slot.
+	servedAt []time.Time
 }
 
 // run is one life of the server, from a start to a crash.
