--- a/internal/rosestack/stack_test.go
+++ b/internal/rosestack/stack_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,10 @@
 		c.Check(time.Since(started) >= 2*time.Second, qt.IsTrue)
 	})
 }
+
+// stackDial returns a driver's dial function to proxy i.
+func stackDial(stack *rosestack.Stack, i int) pgconn.DialFunc {
+	return func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return stack.CallerDialer("driver").Dial(ctx, stack.Proxies[i].Address)
+	}
+}
--- a/pkg/rosegroup/facts.go
+++ b/pkg/rosegroup/facts.go
@@ -4,7 +4,9 @@
 package rosegroup
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -185,3 +187,20 @@
 func (f *Facts) ConfirmedAt() time.Time {
 	return f.ages.freshAt(f.confirmed)
 }
+
+// Clone returns an independent copy.
+func (f *Facts) Clone() *Facts {
+	clone := *f
+	clone.byTarget = maps.Clone(f.byTarget)
+	clone.ages.samples = slices.Clone(f.ages.samples)
+	return &clone
+}
+
+// Fingerprint tells copies apart by what they know of terms and positions.
+func (f *Facts) Fingerprint() string {
+	parts := []string{f.confirmed.String(), f.history.String()}
+	for _, fact := range f.All() {
+		parts = append(parts, string(fact.Target)+"="+fact.Status.Fingerprint())
+	}
+	return strings.Join(parts, ";")
+}
