--- a/pkg/rosepeer/neighbours.go
+++ b/pkg/rosepeer/neighbours.go
@@ -29,6 +29,10 @@
 		}
 	}
 	members = append(members, n.config.Self)
+	if n.config.Select != nil && len(members) > n.config.MeshSize {
+		n.neighbours = n.config.Select(n.config.Self, members)
+		return n.neighbours
+	}
 	n.neighbours = neighboursOf(n.config.Self, members, n.config.MeshSize)
 	return n.neighbours
 }
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -34,6 +34,9 @@
 	Heartbeat time.Duration
 	// MeshSize is the number of members up to which all are neighbours.
 	MeshSize int
+	// Select replaces the choice of neighbours beyond MeshSize; both ends
+	// must choose each other. Nil takes rings.
+	Select func(self rosemary.Member, members []rosemary.Member) []rosemary.ProxyID
 }
 
 const (
