pool: end an acquire with its context

Cause: an idle connection old enough to be probed was taken, not probed because the caller's time was over, put back and taken again, without end: one such caller held a core. Change: an acquire looks at its context first, and a connection whose probe failed is closed.

Also: an idle watch is a prepared statement without column descriptions, and without a row when there is no news; its wait grows with the number of targets, so watching stays within its share of the network; a session named without a token samples its floor by a probe instead of waiting for the next watch; waits with a context stand in one place.

--- a/internal/rosecommand/load.go
+++ b/internal/rosecommand/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"strings"
 	"time"
@@ -26,6 +25,7 @@
 	rate := flags.Float64("rate", 0, "requests a second; 0 takes the default")
 	faults := flags.String("fault", "none", "faults joined by +: "+strings.Join(roseload.FaultNames(), ", "))
 	baseline := flags.String("baseline", "", "policy to compare with: primary-reads, fifo or acknowledge-on-primary")
+	runs := flags.Int("runs", 1, "runs with this seed and the next ones; above 1, prints a summary of all")
 	format := flags.String("report", "json", "format of the report: json")
 	if err := parse(flags, environment, args); err != nil {
 		return err
@@ -41,7 +41,7 @@
 	if *format != "json" {
 		return usageError{trace.BadParameter("no report format %q; use json", *format)}
 	}
-	report, err := roseload.Run(ctx, roseload.Config{
+	config := roseload.Config{
 		Deployment: deployment,
 		For:        *span,
 		Seed:       *seed,
@@ -49,21 +49,45 @@
 		Faults:     roseload.SplitFaults(*faults),
 		Baseline:   policy,
 		Progress:   environment.Err,
-	})
+	}
+	if *runs > 1 {
+		return runSeeds(ctx, environment, config, *runs)
+	}
+	report, err := roseload.Run(ctx, config)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	encoder := json.NewEncoder(environment.Out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(report); err != nil {
-		return trace.Wrap(err)
+	if err := printJSON(environment, report); err != nil {
+		return err
 	}
-	if report.Violations() > 0 {
-		return trace.CompareFailed("the history breaks %d promises", report.Violations())
+	return brokenPromises(report.Violations())
+}
+
+func brokenPromises(violations int) error {
+	if violations > 0 {
+		return trace.CompareFailed("the history breaks %d promises", violations)
 	}
 	return nil
 }
 
+// runSeeds runs one seed after the other and prints a summary.
+func runSeeds(ctx context.Context, environment Environment, config roseload.Config, runs int) error {
+	var reports []*roseload.Report
+	for range runs {
+		report, err := roseload.Run(ctx, config)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		reports = append(reports, report)
+		config.Seed++
+	}
+	summary := roseload.Summarize(reports)
+	if err := printJSON(environment, summary); err != nil {
+		return err
+	}
+	return brokenPromises(summary.Violations)
+}
+
 func findBaseline(name string) (rosedaemon.Baseline, error) {
 	switch name {
 	case "":
--- a/internal/rosedaemon/backend.go
+++ b/internal/rosedaemon/backend.go
@@ -21,6 +21,14 @@
 // trimInterval separates looks at connections that have been idle for long.
 const trimInterval = 30 * time.Second
 
+const (
+	// leastWatchWait is how long a target holds a watch without news when
+	// there are few targets.
+	leastWatchWait = 200 * time.Millisecond
+	// watchSpacing is the time that each watched target adds.
+	watchSpacing = 27 * time.Millisecond
+)
+
 // backend is everything that serves one database.
 type backend struct {
 	database rosebundle.Database
@@ -43,6 +51,7 @@
 		queues:   make(map[rosemary.TargetID]*roseadmit.Queue),
 	}
 	controls := make(map[rosemary.TargetID]rosemary.TargetControl)
+	probes := make(map[rosemary.TargetID]rosemary.TargetControl)
 	share := d.share(group)
 	for _, t := range group.Targets {
 		config := rosepool.Config{
@@ -57,12 +66,17 @@
 			FirstInFirstOut: d.config.Baseline.FirstInFirstOut,
 		})
 		controls[t.ID] = rosepool.NewControl(config)
+		probes[t.ID] = rosepool.NewCommander(b.pools[t.ID])
 	}
 	b.group = rosegroup.NewController(rosegroup.Config{
 		Group:    group,
 		Controls: controls,
-		Leaving:  d.leaving,
-		OnChange: func(change rosegroup.Change) { d.groupChanged(b, change) },
+		Probes:   probes,
+		// The wait grows with what there is to watch, so that watching
+		// stays within its share of the network.
+		WatchWait: max(leastWatchWait, time.Duration(d.targets)*watchSpacing),
+		Leaving:   d.leaving,
+		OnChange:  func(change rosegroup.Change) { d.groupChanged(b, change) },
 	})
 	b.router = roseroute.NewRouter(roseroute.Config{
 		Group:        b.group,
--- a/internal/rosedaemon/bundle.go
+++ b/internal/rosedaemon/bundle.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 )
@@ -50,12 +51,12 @@
 		switch {
 		case d.watcherRank() < zoneWatchers:
 			d.watchStore(ctx)
-			wait(ctx, watchPause)
+			roseclock.Sleep(ctx, watchPause)
 		case len(d.mesh.Linked()) == 0:
 			d.readStore(ctx)
-			wait(ctx, lonelyInterval)
+			roseclock.Sleep(ctx, lonelyInterval)
 		default:
-			wait(ctx, watchPause)
+			roseclock.Sleep(ctx, watchPause)
 		}
 	}
 }
@@ -163,16 +164,6 @@
 	}
 }
 
-// wait returns after span, or when ctx ends.
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Version returns the version of the bundle in force, zero for none.
 func (d *Daemon) Version() uint64 {
 	current, _ := d.rollout.Current()
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/rosemarywell/rosemarywell/internal/rosefront"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
@@ -78,6 +79,8 @@
 	content  *rosebundle.Content
 	backends map[string]*backend
 	unready  bool
+	// targets is the number of targets that are watched.
+	targets int
 }
 
 // New returns a daemon that serves nothing until Apply and Serve.
@@ -116,6 +119,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.content = content
+	d.targets = 0
+	for _, database := range content.Databases {
+		d.targets += len(database.Targets)
+	}
 	for name, b := range d.backends {
 		if next, kept := wanted[name]; !kept || !sameTargets(b.database, next) {
 			d.retire(b)
@@ -138,7 +145,7 @@
 // retire closes a backend once its requests have ended.
 func (d *Daemon) retire(b *backend) {
 	d.tasks.Go(func() {
-		wait(d.ctx, retireAfter)
+		roseclock.Sleep(d.ctx, retireAfter)
 		b.close()
 	})
 }
--- a/internal/rosedaemon/peers.go
+++ b/internal/rosedaemon/peers.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
@@ -64,7 +65,7 @@
 		} else if ctx.Err() == nil {
 			klog.InfoS("VM list not read", "proxy", d.config.Name, "err", err)
 		}
-		wait(ctx, rosterInterval)
+		roseclock.Sleep(ctx, rosterInterval)
 	}
 }
 
--- a/internal/rosefront/filter_retry.go
+++ b/internal/rosefront/filter_retry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosestatement"
 )
@@ -26,7 +27,7 @@
 			if inBlock || r.answer.streamed || !r.again(err) || !s.budget.Spend() {
 				return err
 			}
-			if !sleep(ctx, retryPause) {
+			if !roseclock.Sleep(ctx, retryPause) {
 				return err
 			}
 			r.reset()
@@ -55,15 +56,3 @@
 	r.forcePrimary = true
 	return true
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/roseload/bundles.go
+++ b/internal/roseload/bundles.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywell/rosemarywell/internal/rosestack"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 // observeInterval separates looks at the versions in force.
@@ -43,7 +44,7 @@
 
 // observe looks at every proxy until ctx ends.
 func (b *bundles) observe(ctx context.Context) {
-	for sleep(ctx, observeInterval) {
+	for roseclock.Sleep(ctx, observeInterval) {
 		for _, p := range b.run.stack.Running() {
 			b.look(p, p.Version())
 		}
--- a/internal/roseload/fault_bundle.go
+++ b/internal/roseload/fault_bundle.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarywell/rosemarywell/internal/rosestack"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 const (
@@ -39,7 +40,7 @@
 func strikeRollout(ctx context.Context, f *faults) {
 	for range rollouts {
 		f.propose(ctx, raiseWeight)
-		sleep(ctx, rolloutPause)
+		roseclock.Sleep(ctx, rolloutPause)
 	}
 }
 
@@ -51,7 +52,7 @@
 			operators.Go(func() { f.propose(ctx, raiseWeight) })
 		}
 		operators.Wait()
-		sleep(ctx, rolloutPause)
+		roseclock.Sleep(ctx, rolloutPause)
 	}
 }
 
@@ -76,7 +77,7 @@
 		f.run.bundles.excuse("", f.run.stack.Proxies[i].Name)
 		f.run.stack.Proxies[i].Kill()
 		f.propose(ctx, raiseWeight)
-		sleep(ctx, restartAfter)
+		roseclock.Sleep(ctx, restartAfter)
 		f.restart(i)
 		f.run.bundles.healed()
 	}
@@ -99,10 +100,10 @@
 // the bundle from its peers.
 func strikeBoot(ctx context.Context, f *faults) {
 	f.propose(ctx, raiseWeight)
-	sleep(ctx, time.Second)
+	roseclock.Sleep(ctx, time.Second)
 	f.run.stack.Platform.SetDown(true)
 	f.run.stack.Proxies[0].Kill()
-	sleep(ctx, restartAfter)
+	roseclock.Sleep(ctx, restartAfter)
 	f.restart(0)
 	f.run.bundles.awaitServing(ctx, f.run.stack.Proxies[0])
 }
@@ -110,7 +111,7 @@
 // awaitServing notes how long a new proxy took to have a bundle in force.
 func (b *bundles) awaitServing(ctx context.Context, p *rosestack.Proxy) {
 	started := time.Now()
-	for p.Version() == 0 && sleep(ctx, observeInterval) {
+	for p.Version() == 0 && roseclock.Sleep(ctx, observeInterval) {
 		continue
 	}
 	klog.InfoS("proxy serves without the store", "proxy", p.Name, "after", time.Since(started))
--- a/internal/roseload/fault_primary.go
+++ b/internal/roseload/fault_primary.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarywell/rosemarywell/internal/rosenet"
 	"github.com/rosemarywell/rosemarywell/internal/rosestack"
 	"github.com/rosemarywell/rosemarywell/internal/rosetarget"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 const (
@@ -37,14 +38,14 @@
 
 func strikeCrashTwice(ctx context.Context, f *faults) {
 	strikeCrash(ctx, f)
-	if sleep(ctx, secondCrashAfter) {
+	if roseclock.Sleep(ctx, secondCrashAfter) {
 		strikeCrash(ctx, f)
 	}
 }
 
 func (f *faults) startLater(ctx context.Context, t *rosetarget.Target) {
 	f.tasks.Go(func() {
-		sleep(ctx, crashedFor)
+		roseclock.Sleep(ctx, crashedFor)
 		if err := t.Start(); err != nil {
 			klog.InfoS("target did not start again", "err", err)
 		}
--- a/internal/roseload/fault_proxies.go
+++ b/internal/roseload/fault_proxies.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 const (
@@ -23,7 +25,7 @@
 func strikeKill(ctx context.Context, f *faults) {
 	for i := range len(f.run.stack.Proxies) / 2 {
 		f.run.stack.Proxies[i].Kill()
-		if !sleep(ctx, restartAfter) {
+		if !roseclock.Sleep(ctx, restartAfter) {
 			return
 		}
 		f.restart(i)
@@ -38,7 +40,7 @@
 			klog.InfoS("drain did not end", "err", err)
 		}
 		cancel()
-		if !sleep(ctx, restartAfter) {
+		if !roseclock.Sleep(ctx, restartAfter) {
 			return
 		}
 		f.restart(i)
--- a/internal/roseload/fault_replicas.go
+++ b/internal/roseload/fault_replicas.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 // lagTime is how far a lagging replica falls behind.
@@ -45,7 +47,7 @@
 			}
 			i--
 		}
-		if !sleep(ctx, time.Second) {
+		if !roseclock.Sleep(ctx, time.Second) {
 			return
 		}
 	}
--- a/internal/roseload/fault_store.go
+++ b/internal/roseload/fault_store.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 )
@@ -39,7 +40,7 @@
 		return from.Name == first || to.Name == first
 	})
 	f.tasks.Go(func() {
-		sleep(ctx, pausedFor)
+		roseclock.Sleep(ctx, pausedFor)
 		healNetwork(f)
 	})
 	strikeCrash(ctx, f)
--- a/internal/roseload/faults.go
+++ b/internal/roseload/faults.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosetarget"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -72,7 +73,7 @@
 // play brings the faults about and heals them.
 func (f *faults) play(ctx context.Context) error {
 	third := f.run.config.For / 3
-	if len(f.chosen) == 0 || !sleep(ctx, third) {
+	if len(f.chosen) == 0 || !roseclock.Sleep(ctx, third) {
 		return nil
 	}
 	f.mu.Lock()
@@ -83,7 +84,7 @@
 			chosen.strike(ctx, f)
 		}
 	}
-	sleep(ctx, third)
+	roseclock.Sleep(ctx, third)
 	f.heal()
 	return nil
 }
@@ -153,18 +154,6 @@
 	return replicas
 }
 
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // SplitFaults splits names joined by "+"; a fault whose own name has one goes
 // before its parts.
 func SplitFaults(text string) []string {
--- a/internal/rosenet/link.go
+++ b/internal/rosenet/link.go
@@ -5,10 +5,12 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 // queueChunks bounds the chunks that a stream holds in flight.
-const queueChunks = 4096
+const queueChunks = 256
 
 // chunkBytes is the size of one read.
 const chunkBytes = 16 << 10
@@ -96,7 +98,7 @@
 
 func (l *link) drain(sink net.Conn, queue <-chan chunk) {
 	for c := range queue {
-		if sleep(l.ctx, time.Until(c.due)) != nil || !l.passable() {
+		if !roseclock.Sleep(l.ctx, time.Until(c.due)) || !l.passable() {
 			return
 		}
 		if _, err := sink.Write(c.data); err != nil {
--- a/internal/rosenet/network.go
+++ b/internal/rosenet/network.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 // Place is a named machine in an availability zone.
@@ -169,8 +171,8 @@
 	if err := n.waitOpen(ctx, d.from, to); err != nil {
 		return nil, err
 	}
-	if err := sleep(ctx, 2*n.config.Delay(d.from, to)); err != nil {
-		return nil, trace.ConnectionProblem(err, "dial %s", address)
+	if !roseclock.Sleep(ctx, 2*n.config.Delay(d.from, to)) {
+		return nil, trace.ConnectionProblem(ctx.Err(), "dial %s", address)
 	}
 	inner, err := n.dialInner(ctx, address)
 	if err != nil {
@@ -192,17 +194,3 @@
 	}
 	return listener.dial(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/rosetarget/functions.go
+++ b/internal/rosetarget/functions.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -68,7 +69,12 @@
 	case "rosemary.status":
 		return statusResult(t.Status()), nil
 	case "rosemary.watch":
-		return statusResult(t.watch(ctx, argument(0), time.Duration(number(1))*time.Millisecond)), nil
+		status := t.watch(ctx, argument(0), time.Duration(number(1))*time.Millisecond)
+		result := statusResult(status)
+		if status.Fingerprint() == argument(0) {
+			result.rows, result.tag = nil, "SELECT 0"
+		}
+		return result, nil
 	case "rosemary.fence":
 		return orStatus(t.fence(number(0), argument(1)))
 	case "rosemary.promote":
@@ -83,7 +89,7 @@
 		return s.outcome(ctx, argument(0))
 	case "pg_sleep":
 		seconds, _ := strconv.ParseFloat(argument(0), 64)
-		if !sleepFor(ctx, time.Duration(seconds*float64(time.Second))) {
+		if !roseclock.Sleep(ctx, time.Duration(seconds*float64(time.Second))) {
 			return nil, newError("57014", "canceling statement due to user request")
 		}
 		return oneColumn("pg_sleep", false, ""), nil
--- a/internal/rosetarget/replicate.go
+++ b/internal/rosetarget/replicate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -94,7 +95,7 @@
 	if end == shared && !diverged {
 		return false, changed
 	}
-	if !sleepFor(ctx, t.config.Network.Delay(from, to)) || t.config.Network.Blocked(from, to) {
+	if !roseclock.Sleep(ctx, t.config.Network.Delay(from, to)) || t.config.Network.Blocked(from, to) {
 		return false, nil
 	}
 	t.mu.Lock()
@@ -110,21 +111,6 @@
 	return true, changed
 }
 
-// sleepFor reports false when ctx ended first.
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fence makes the target accept term and refuse what is older.
 func (t *Target) fence(term uint64, proposer string) (rosemary.Status, error) {
 	t.mu.Lock()
--- a/internal/rosetarget/session.go
+++ b/internal/rosetarget/session.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 )
 
 const serverVersion = "15.0"
@@ -95,7 +97,7 @@
 }
 
 func (s *session) welcome() bool {
-	if !sleepFor(s.run.ctx, s.target.config.ConnectTime) {
+	if !roseclock.Sleep(s.run.ctx, s.target.config.ConnectTime) {
 		return false
 	}
 	if !s.target.enter(s.run, s) {
@@ -383,7 +385,7 @@
 		return nil, newError("57014", "canceling statement due to user request")
 	}
 	s.target.noteStatement()
-	finished := sleepFor(ctx, s.target.cost(st))
+	finished := roseclock.Sleep(ctx, s.target.cost(st))
 	<-s.target.slots
 	if !finished {
 		return nil, newError("57014", "canceling statement due to user request")
--- a/pkg/rosegroup/controller.go
+++ b/pkg/rosegroup/controller.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -17,6 +18,9 @@
 	Controls map[rosemary.TargetID]rosemary.TargetControl
 	// Leaving tells which targets are on their way out; nil means none.
 	Leaving func(rosemary.TargetID) bool
+	// Probes drive the targets, one each, for a status at once; nil leaves
+	// that to the watches.
+	Probes map[rosemary.TargetID]rosemary.TargetControl
 	// WatchWait is how long a target holds a watch without news.
 	WatchWait time.Duration
 	// OnChange is called after a change of terms, roles or reachability.
@@ -53,6 +57,8 @@
 	changed chan struct{}
 	primary rosemary.TargetID
 	term    uint64
+	// probing holds one token while a probe runs.
+	probing chan struct{}
 }
 
 // Reach tells whether a target answers this process.
@@ -80,6 +86,7 @@
 		facts:   NewFacts(config.Group, config.Leaving),
 		reach:   make(map[rosemary.TargetID]Reach),
 		changed: make(chan struct{}),
+		probing: make(chan struct{}, 1),
 	}
 }
 
@@ -109,7 +116,7 @@
 		if err != nil {
 			known = rosemary.Status{}
 			c.noteFailure(id, err)
-			pause(ctx, reconnectPause)
+			roseclock.Sleep(ctx, reconnectPause)
 			continue
 		}
 		known = status
@@ -118,15 +125,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Controller) noteAnswer(id rosemary.TargetID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -272,6 +270,7 @@
 // acknowledged before since. It waits until the primary was seen after since
 // and its term was in force after since.
 func (c *Controller) SampleFloor(ctx context.Context, since time.Time) (rosemary.Position, error) {
+	c.Probe(ctx)
 	for {
 		c.mu.Lock()
 		primary, ok := c.facts.Primary()
@@ -290,6 +289,53 @@
 const samplePoll = 2 * time.Millisecond
 
 func waitPoll(ctx context.Context) error {
-	pause(ctx, samplePoll)
+	roseclock.Sleep(ctx, samplePoll)
 	return ctx.Err()
 }
+
+// probeTimeout bounds one probe.
+const probeTimeout = 400 * time.Millisecond
+
+// Probe asks every target for its status now, and returns once a quorum has
+// answered. Callers that come while a probe runs share the next one.
+func (c *Controller) Probe(ctx context.Context) {
+	if len(c.config.Probes) == 0 {
+		return
+	}
+	select {
+	case c.probing <- struct{}{}:
+		defer func() { <-c.probing }()
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answered := make(chan bool, len(c.config.Probes))
+	sent := time.Now()
+	for _, probe := range c.config.Probes {
+		go func() {
+			status, err := probe.Watch(ctx, rosemary.Status{}, 0)
+			if err == nil {
+				c.Note(Fact{Status: status, SentAt: sent, ReceivedAt: time.Now()})
+			}
+			answered <- err == nil
+		}()
+	}
+	c.awaitQuorum(answered)
+}
+
+// awaitQuorum returns once the primary's term can be judged, or all answered.
+func (c *Controller) awaitQuorum(answered <-chan bool) {
+	good := 0
+	for range c.config.Probes {
+		if <-answered {
+			good++
+		}
+		if primary, _ := c.View(); good >= c.config.Group.Quorum() && primary.HasPrimary && time.Since(primary.CurrentAt) < probeTimeout {
+			return
+		}
+	}
+}
+
+// WatchWait returns how long a target holds a watch without news.
+func (c *Controller) WatchWait() time.Duration { return c.config.WatchWait }
--- a/pkg/rosepeer/scale_test.go
+++ b/pkg/rosepeer/scale_test.go
@@ -85,14 +85,14 @@
 		f.nodes = append(f.nodes, node)
 		heap.Push(&f.queue, delivery{at: f.now.Add(tickEvery * time.Duration(i%100) / 100), to: i})
 	}
-	for i, n := range f.nodes {
-		for _, other := range f.members {
-			if other.Proxy != f.members[i].Proxy {
-				_, _ = n.Receive(f.now, other.Proxy, rosewire.Message{Hello: &rosewire.Hello{
-					Proxy: string(other.Proxy), Zone: string(other.Zone), Address: other.Address, Incarnation: 1,
-				}})
-			}
-		}
+	all := rosewire.News{}
+	for _, m := range f.members {
+		all.Members = append(all.Members, rosewire.Member{
+			Proxy: string(m.Proxy), Zone: string(m.Zone), Address: m.Address, Incarnation: 1,
+		})
+	}
+	for _, n := range f.nodes {
+		_, _ = n.Receive(f.now, "", rosewire.Message{News: &all})
 	}
 	return f
 }
--- a/pkg/rosepool/control.go
+++ b/pkg/rosepool/control.go
@@ -39,7 +39,58 @@
 
 // Watch returns the target's status once it differs from known, or after wait.
 func (c *Control) Watch(ctx context.Context, known rosemary.Status, wait time.Duration) (rosemary.Status, error) {
-	return c.call(ctx, wait, "watch", known.Fingerprint(), strconv.FormatInt(wait.Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(ctx, wait+controlTimeout)
+	defer cancel()
+	if err := c.connect(ctx); err != nil {
+		return rosemary.Status{}, err
+	}
+	rows, err := c.conn.watch(ctx, known.Fingerprint(), strconv.FormatInt(wait.Milliseconds(), 10))
+	if c.conn.Broken() {
+		c.conn = nil
+	}
+	if err != nil {
+		return rosemary.Status{}, err
+	}
+	if len(rows) == 0 {
+		return known, nil
+	}
+	return parseStatus(rows)
+}
+
+// connect opens the connection if there is none.
+func (c *Control) connect(ctx context.Context) error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := Open(ctx, c.config.Dialer, c.config.Target, c.config.Credentials)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	return nil
+}
+
+// watchStatement is the name of the prepared watch. It keeps an idle watch
+// short: the target describes no columns, and sends no row without news.
+const watchStatement = "rose_watch"
+
+func (c *Conn) watch(ctx context.Context, args ...string) ([][]string, error) {
+	var messages []pgproto3.FrontendMessage
+	if !c.HasPrepared(watchStatement) {
+		messages = append(messages, &pgproto3.Parse{Name: watchStatement, Query: "SELECT * FROM rosemary.watch($1, $2)"})
+	}
+	parameters := make([][]byte, len(args))
+	for i, a := range args {
+		parameters[i] = []byte(a)
+	}
+	messages = append(messages,
+		&pgproto3.Bind{PreparedStatement: watchStatement, Parameters: parameters},
+		&pgproto3.Execute{}, &pgproto3.Sync{})
+	rows, err := c.collect(ctx, messages)
+	if err == nil {
+		c.NotePrepared(watchStatement)
+	}
+	return rows, err
 }
 
 // Fence makes the target accept term and refuse writes of older terms.
@@ -60,12 +111,8 @@
 func (c *Control) call(ctx context.Context, wait time.Duration, function string, args ...string) (rosemary.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+controlTimeout)
 	defer cancel()
-	if c.conn == nil {
-		conn, err := Open(ctx, c.config.Dialer, c.config.Target, c.config.Credentials)
-		if err != nil {
-			return rosemary.Status{}, err
-		}
-		c.conn = conn
+	if err := c.connect(ctx); err != nil {
+		return rosemary.Status{}, err
 	}
 	for i, a := range args {
 		args[i] = "'" + strings.ReplaceAll(a, "'", "''") + "'"
@@ -83,10 +130,15 @@
 // Query runs a simple query and returns its rows in text form. An error
 // answered by the target is a trace.BadParameter.
 func (c *Conn) Query(ctx context.Context, query string) ([][]string, error) {
+	return c.collect(ctx, []pgproto3.FrontendMessage{&pgproto3.Query{String: query}})
+}
+
+// collect sends messages and returns the rows of the answer.
+func (c *Conn) collect(ctx context.Context, messages []pgproto3.FrontendMessage) ([][]string, error) {
 	var rows [][]string
 	var failure error
 	err := c.Exchange(ctx, Step{
-		Messages: []pgproto3.FrontendMessage{&pgproto3.Query{String: query}},
+		Messages: messages,
 		Receive: func(message pgproto3.BackendMessage) error {
 			switch m := message.(type) {
 			case *pgproto3.DataRow:
--- a/pkg/rosepool/pool.go
+++ b/pkg/rosepool/pool.go
@@ -63,6 +63,9 @@
 // trace.ConnectionProblem and trace.LimitExceeded, and those of ctx.
 func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
 	for {
+		if err := ctx.Err(); err != nil {
+			return nil, trace.ConnectionProblem(err, "connection to target %s", p.config.Target.ID)
+		}
 		conn, wait, err := p.take()
 		if err != nil {
 			return nil, err
@@ -81,6 +84,7 @@
 		if time.Since(conn.lastUsed) < probeAfter || conn.probe(ctx) {
 			return conn, nil
 		}
+		conn.Close()
 		p.Release(conn)
 	}
 }
--- /dev/null
+++ b/pkg/rosepool/pool_test.go
@@ -0,0 +1,88 @@
+package rosepool_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/internal/rosetarget"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
+)
+
+// withPool runs check with a pool of two connections to a stand-in target.
+func withPool(t *testing.T, check func(*qt.C, *rosepool.Pool, *rosenet.Network)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := rosenet.NewNetwork(rosenet.Config{InMemory: true})
+		cluster := rosetarget.NewCluster(network, []rosetarget.Config{{ID: "t", Zone: "a", Slots: 2, Connections: 4}})
+		c.Assert(cluster.Target("t").Start(), qt.IsNil)
+		pool := rosepool.NewPool(rosepool.Config{
+			Target: rosemary.Target{ID: "t", Address: cluster.Target("t").Address()},
+			Dialer: network.Dialer(rosenet.Place{Name: "p", Zone: "a"}),
+			Limit:  2,
+		})
+		check(c, pool, network)
+		pool.Close()
+		cluster.Close()
+		network.Close()
+	})
+}
+
+func TestAcquireEndsWithItsContext(t *testing.T) {
+	withPool(t, func(c *qt.C, pool *rosepool.Pool, _ *rosenet.Network) {
+		conn, err := pool.Acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		pool.Release(conn)
+		// An idle connection old enough to be probed, and no time to do so.
+		time.Sleep(time.Minute)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = pool.Acquire(ctx)
+		c.Check(errors.Is(err, context.Canceled), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
+func TestASilentIdleConnectionIsReplaced(t *testing.T) {
+	withPool(t, func(c *qt.C, pool *rosepool.Pool, network *rosenet.Network) {
+		conn, err := pool.Acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		pool.Release(conn)
+		network.Silence("t")
+		time.Sleep(time.Minute)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		fresh, err := pool.Acquire(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Check(fresh == conn, qt.IsFalse)
+		rows, err := fresh.Query(ctx, "SELECT 1")
+		c.Assert(err, qt.IsNil)
+		c.Check(rows, qt.DeepEquals, [][]string{{"1"}})
+		pool.Release(fresh)
+	})
+}
+
+func TestTheLimitHolds(t *testing.T) {
+	withPool(t, func(c *qt.C, pool *rosepool.Pool, _ *rosenet.Network) {
+		first, err := pool.Acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		second, err := pool.Acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err = pool.Acquire(ctx)
+		c.Check(err, qt.ErrorMatches, ".*no free connection.*")
+		pool.Release(first)
+		third, err := pool.Acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Check(third == first, qt.IsTrue)
+		pool.Release(second)
+		pool.Release(third)
+		c.Check(pool.Open(), qt.Equals, 2)
+	})
+}
--- a/pkg/roseroute/router.go
+++ b/pkg/roseroute/router.go
@@ -24,6 +24,8 @@
 	ageMargin = 20 * time.Millisecond
 	// primaryFreshness is the same bound for statements without an age.
 	primaryFreshness = time.Second
+	// freshWatches is the number of idle watches that the bound spans.
+	freshWatches = 3
 	// maxWaiting bounds the statements that wait for a primary.
 	maxWaiting = 4096
 	// retryPause separates attempts at a target that refuses connections.
@@ -172,7 +174,7 @@
 	if class.MaxAge > 0 {
 		return max(class.MaxAge-ageMargin, 0)
 	}
-	return primaryFreshness
+	return max(primaryFreshness, freshWatches*r.config.Group.WatchWait())
 }
 
 // lagging reports whether the primary holds more than was confirmed.
--- a/pkg/rosesupervisor/record.go
+++ b/pkg/rosesupervisor/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -105,20 +106,8 @@
 		attempt, cancel := context.WithTimeout(ctx, publishTimeout)
 		_, err := raise(attempt, s.config.Store, s.database(), record)
 		cancel()
-		if err == nil || !sleep(ctx, publishPause) {
+		if err == nil || !roseclock.Sleep(ctx, publishPause) {
 			return
 		}
 	}
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/rosesupervisor/supervisor.go
+++ b/pkg/rosesupervisor/supervisor.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -120,7 +121,7 @@
 	}
 	if err != nil {
 		klog.InfoS("promotion failed", "proxy", s.config.Self, "database", s.database(), "err", err)
-		sleep(ctx, retryPause+rand.N(retryPause))
+		roseclock.Sleep(ctx, retryPause+rand.N(retryPause))
 	}
 }
 
