--- a/internal/rosestack/stack_test.go
+++ b/internal/rosestack/stack_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +94,37 @@
 		return stack.CallerDialer("driver").Dial(ctx, stack.Proxies[i].Address)
 	}
 }
+
+// An hour of slow answers and lagging replicas must not cost a promotion. The
+// test takes a part of the hour; ROSEMARY_QUIET sets another.
+func TestNoNeedlessPromotion(t *testing.T) {
+	span := 3 * time.Minute
+	if text := os.Getenv("ROSEMARY_QUIET"); text != "" {
+		longer, err := time.ParseDuration(text)
+		qt.New(t).Assert(err, qt.IsNil)
+		span = longer
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		deployment, err := rosestack.FindDeployment("costa-rica")
+		c.Assert(err, qt.IsNil)
+		deployment.Databases = deployment.Databases[:1]
+		stack, err := rosestack.Start(context.Background(), rosestack.Config{Deployment: deployment, InMemory: true})
+		c.Assert(err, qt.IsNil)
+		defer stack.Close()
+		targets := stack.Clusters["licencias1"].Targets()
+		for _, target := range targets {
+			const everyTwentieth = 20
+			target.SetSlow(everyTwentieth, 450*time.Millisecond)
+		}
+		targets["licencias1-2"].SetLag(5 * time.Second)
+		conn := connect(c, stack, 0, nil)
+		defer conn.Close(context.Background())
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(2 * time.Second) {
+			query(c, conn, "UPDATE licences SET version = version + 1 WHERE id = 1")
+		}
+		for id, target := range targets {
+			c.Check(target.Status().Term, qt.Equals, uint64(1), qt.Commentf("%s", id))
+		}
+	})
+}
--- a/internal/rosetarget/functions.go
+++ b/internal/rosetarget/functions.go
@@ -69,6 +69,7 @@
 	case "rosemary.status":
 		return statusResult(t.Status()), nil
 	case "rosemary.watch":
+		roseclock.Sleep(ctx, t.slowness())
 		status := t.watch(ctx, argument(0), time.Duration(number(1))*time.Millisecond)
 		result := statusResult(status)
 		if status.Fingerprint() == argument(0) {
--- a/internal/rosetarget/target.go
+++ b/internal/rosetarget/target.go
@@ -57,6 +57,11 @@
 	follow    context.CancelFunc
 	running   *run
 
+	// slowEvery and slowTime make every so many watches slow to answer.
+	slowEvery int
+	slowTime  time.Duration
+	watches   int
+
 	listenAddress string
 	// servedAt holds the times of the statements that held a slot.
 	servedAt []time.Time
@@ -168,6 +173,24 @@
 	t.notify()
 }
 
+// SetSlow makes one of every so many watches take longer to answer.
+func (t *Target) SetSlow(every int, slow time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slowEvery, t.slowTime = every, slow
+}
+
+// slowness returns how much longer the next watch takes.
+func (t *Target) slowness() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watches++
+	if t.slowEvery == 0 || t.watches%t.slowEvery != 0 {
+		return 0
+	}
+	return t.slowTime
+}
+
 // SetLeaving makes the target ask for no new work.
 func (t *Target) SetLeaving(leaving bool) {
 	t.mu.Lock()
