lend: lend a target's connections by demand

Cause: connections were split evenly, so a proxy that all callers reached had two to each target while ten others stood idle. Change: each proxy owns two thirds of an equal part; the rest is lent for 2 s at a time by the first live proxy in the target's rendezvous order, to those whose statements wait while the target itself doesn't queue. The lender keeps a loan on its books for a second longer than the borrower uses it.

A node looked at every member on each tick; it now looks at those that aren't alive. Conclusion: loans stay; without a lender each falls back to its floor.

--- a/internal/rosecommand/load.go
+++ b/internal/rosecommand/load.go
@@ -24,7 +24,7 @@
 	seed := flags.Uint64("seed", 1, "seed of arrivals, sessions and faults")
 	rate := flags.Float64("rate", 0, "requests a second; 0 takes the default")
 	faults := flags.String("fault", "none", "faults joined by +: "+strings.Join(roseload.FaultNames(), ", "))
-	baseline := flags.String("baseline", "", "policy to compare with: primary-reads, fifo or acknowledge-on-primary")
+	baseline := flags.String("baseline", "", "policy to compare with: primary-reads, fifo, even-split or acknowledge-on-primary")
 	runs := flags.Int("runs", 1, "runs with this seed and the next ones; above 1, prints a summary of all")
 	format := flags.String("report", "json", "format of the report: json")
 	if err := parse(flags, environment, args); err != nil {
@@ -96,8 +96,10 @@
 		return rosedaemon.Baseline{PrimaryReads: true}, nil
 	case "fifo":
 		return rosedaemon.Baseline{FirstInFirstOut: true}, nil
+	case "even-split":
+		return rosedaemon.Baseline{EvenSplit: true}, nil
 	case "acknowledge-on-primary":
 		return rosedaemon.Baseline{AcknowledgeOnPrimary: true}, nil
 	}
-	return rosedaemon.Baseline{}, trace.BadParameter("no baseline %q; use primary-reads, fifo or acknowledge-on-primary", name)
+	return rosedaemon.Baseline{}, trace.BadParameter("no baseline %q; use primary-reads, fifo, even-split or acknowledge-on-primary", name)
 }
--- a/internal/rosedaemon/backend.go
+++ b/internal/rosedaemon/backend.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
+	"github.com/rosemarywell/rosemarywell/pkg/roselend"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepool"
 	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
@@ -38,6 +39,8 @@
 	router   *roseroute.Router
 	// supervisor keeps the group led.
 	supervisor *rosesupervisor.Supervisor
+	share      roselend.Share
+	loans      map[rosemary.TargetID]loan
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
 }
@@ -49,10 +52,12 @@
 		database: database,
 		pools:    make(map[rosemary.TargetID]*rosepool.Pool),
 		queues:   make(map[rosemary.TargetID]*roseadmit.Queue),
+		loans:    make(map[rosemary.TargetID]loan),
 	}
 	controls := make(map[rosemary.TargetID]rosemary.TargetControl)
 	probes := make(map[rosemary.TargetID]rosemary.TargetControl)
-	share := d.share(group)
+	b.share = d.divide(group.Connections)
+	share := b.share.Floor
 	for _, t := range group.Targets {
 		config := rosepool.Config{
 			Target:      t,
@@ -93,14 +98,11 @@
 
 // resize takes over limits that changed.
 func (b *backend) resize(d *Daemon, database rosebundle.Database) {
-	if b.database.Connections != database.Connections {
-		share := d.share(database.Group())
-		for id, p := range b.pools {
-			p.SetLimit(share)
-			b.queues[id].SetMaxInFlight(share)
-		}
-	}
 	b.database = database
+	b.share = d.divide(database.Connections)
+	for id := range b.pools {
+		b.limit(id)
+	}
 }
 
 func (b *backend) start() {
@@ -147,11 +149,11 @@
 	klog.InfoS("primary changed", "proxy", d.config.Name, "database", change.Database, "primary", change.Primary, "term", change.Term)
 }
 
-// share returns the number of connections that this proxy may open to one
-// target: an equal part of what remains beside the control connections.
-func (d *Daemon) share(group rosemary.Group) int {
-	proxies := max(d.config.Proxies, 1)
-	return max((group.Connections-proxies)/proxies, 1)
+func (d *Daemon) divide(connections int) roselend.Share {
+	if d.config.Baseline.EvenSplit {
+		return roselend.DivideEvenly(connections, d.config.Proxies)
+	}
+	return roselend.Divide(connections, d.config.Proxies)
 }
 
 func (d *Daemon) credentials(database string) rosepool.Credentials {
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarywell/rosemarywell/internal/rosefront"
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/roselend"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 	"github.com/rosemarywell/rosemarywell/pkg/roseroute"
@@ -27,6 +28,8 @@
 	FirstInFirstOut bool
 	// AcknowledgeOnPrimary answers a write on the primary's word alone.
 	AcknowledgeOnPrimary bool
+	// EvenSplit gives each proxy the same connections, whatever its demand.
+	EvenSplit bool
 }
 
 // Config sets up a Daemon.
@@ -79,6 +82,8 @@
 	content  *rosebundle.Content
 	backends map[string]*backend
 	unready  bool
+	// lender keeps the books of the targets that this proxy lends.
+	lender *roselend.Lender
 	// targets is the number of targets that are watched.
 	targets int
 }
@@ -86,6 +91,7 @@
 // New returns a daemon that serves nothing until Apply and Serve.
 func New(config Config) *Daemon {
 	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
+	d.lender = roselend.NewLender()
 	d.DrainAsked = make(chan struct{})
 	d.behind = make(chan rosemary.ProxyID, 1)
 	d.newMesh()
@@ -106,6 +112,7 @@
 	d.tasks.Go(func() { d.followRoster(ctx) })
 	d.tasks.Go(func() { d.followStore(ctx) })
 	d.tasks.Go(func() { d.followPeers(ctx) })
+	d.tasks.Go(func() { d.borrow(ctx) })
 	return d
 }
 
--- a/internal/rosedaemon/peers.go
+++ b/internal/rosedaemon/peers.go
@@ -35,6 +35,8 @@
 		OnEvent:   d.peerEvent,
 		OnCancel:  func(pid, secret uint32) { d.front.Cancel(pid, secret) },
 		Provide:   func(digest string) (string, bool) { return d.rollout.Provide(digest) },
+		OnAsk:     d.lend,
+		OnGrant:   d.borrowed,
 		MayTunnel: d.isTarget,
 	})
 	d.mesh.Learn(d.config.Seeds)
--- a/internal/rosestack/bench_test.go
+++ b/internal/rosestack/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/rosemarywell/rosemarywell/internal/rosedaemon"
 	"github.com/rosemarywell/rosemarywell/internal/rosenet"
 	"github.com/rosemarywell/rosemarywell/internal/rosestack"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -55,6 +56,35 @@
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
 }
 
+// BenchmarkSkewedDemand reports the look-ups a second of 64 callers that all
+// reached one of six proxies, with loans and with an even split.
+func BenchmarkSkewedDemand(b *testing.B) {
+	for name, baseline := range map[string]rosedaemon.Baseline{"loans": {}, "even": {EvenSplit: true}} {
+		b.Run(name, func(b *testing.B) {
+			c := qt.New(b)
+			deployment, err := rosestack.FindDeployment("costa-rica")
+			c.Assert(err, qt.IsNil)
+			stack, err := rosestack.Start(context.Background(), rosestack.Config{Deployment: deployment, Baseline: baseline})
+			c.Assert(err, qt.IsNil)
+			defer stack.Close()
+			time.Sleep(time.Second)
+			b.SetParallelism(64 / runtime.GOMAXPROCS(0))
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				conn := connect(c, stack, 0, nil)
+				defer conn.Close(context.Background())
+				for pb.Next() {
+					if _, err := rosestack.Query(context.Background(), conn, benchRead); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+		})
+	}
+}
+
 // BenchmarkAddedLatency reports the p50 of a look-up sent to a replica
 // directly and through a proxy, in turns.
 func BenchmarkAddedLatency(b *testing.B) {
--- a/pkg/roseadmit/queue.go
+++ b/pkg/roseadmit/queue.go
@@ -213,6 +213,8 @@
 	InFlight int
 	Queued   int
 	Limit    int
+	// Max is the bound that the adaptive limit stays at or below.
+	Max int
 	// Latency is the mean time from ticket to release.
 	Latency time.Duration
 }
@@ -221,7 +223,7 @@
 func (q *Queue) Load() Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return Load{InFlight: q.inFlight, Queued: len(q.waiting), Limit: q.limit.current(), Latency: q.limit.latency()}
+	return Load{InFlight: q.inFlight, Queued: len(q.waiting), Limit: q.limit.current(), Max: q.limit.most, Latency: q.limit.latency()}
 }
 
 func overloaded(message string, wait time.Duration) *rosemary.Refusal {
--- /dev/null
+++ b/pkg/roselend/lender_test.go
@@ -0,0 +1,68 @@
+package roselend_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roselend"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+func TestDivide(t *testing.T) {
+	for _, test := range []struct {
+		connections, proxies int
+		want                 roselend.Share
+	}{
+		{20, 6, roselend.Share{Floor: 1, Rest: 8}},
+		{50, 6, roselend.Share{Floor: 4, Rest: 20}},
+		{4, 6, roselend.Share{Floor: 1, Rest: 0}},
+		{20, 1, roselend.Share{Floor: 12, Rest: 7}},
+	} {
+		got := roselend.Divide(test.connections, test.proxies)
+		qt.New(t).Check(got, qt.Equals, test.want, qt.Commentf("%d connections, %d proxies", test.connections, test.proxies))
+	}
+}
+
+// Whatever is asked and in whatever order, what borrowers may use at one time
+// is never more than the rest.
+func TestLoansNeverExceedTheRest(t *testing.T) {
+	const rest, borrowers = 8, 6
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		lender := roselend.NewLender()
+		now := time.Unix(0, 0)
+		using := make(map[rosemary.ProxyID]int)
+		until := make(map[rosemary.ProxyID]time.Time)
+		for range 300 {
+			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+			id := rosemary.ProxyID(fmt.Sprint(random.IntN(borrowers)))
+			using[id] = lender.Grant(now, "t", id, random.IntN(12), rest)
+			until[id] = now.Add(roselend.Hold)
+			total := 0
+			for other, extra := range using {
+				if now.Before(until[other]) {
+					total += extra
+				}
+			}
+			if total > rest {
+				t.Fatalf("seed %d: %d connections in use of %d lent", seed, total, rest)
+			}
+		}
+	}
+}
+
+func TestAloneABorrowerGetsAll(t *testing.T) {
+	c := qt.New(t)
+	lender := roselend.NewLender()
+	now := time.Unix(0, 0)
+	c.Check(lender.Grant(now, "t", "a", 20, 8), qt.Equals, 8)
+	c.Check(lender.Grant(now, "t", "b", 20, 8), qt.Equals, 0)
+	later := now.Add(time.Second)
+	c.Check(lender.Grant(later, "t", "a", 20, 8), qt.Equals, 4, qt.Commentf("b asks too"))
+	c.Check(lender.Grant(later, "t", "b", 20, 8), qt.Equals, 4)
+	c.Check(lender.Grant(later.Add(time.Minute), "t", "b", 3, 8), qt.Equals, 3)
+}
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -44,6 +44,10 @@
 	// Provide returns the part of the bundle with that digest, or the
 	// manifest in force for an empty one.
 	Provide func(digest string) (string, bool)
+	// OnAsk answers a peer's ask for connections.
+	OnAsk func(from rosemary.ProxyID, ask rosewire.Ask) rosewire.Grant
+	// OnGrant is told of a peer's grant.
+	OnGrant func(rosewire.Grant)
 	// MayTunnel reports whether a peer may reach that address through here.
 	MayTunnel func(address string) bool
 }
@@ -327,18 +331,31 @@
 		m.config.OnCancel(uint32(message.Cancel.ProcessID), uint32(message.Cancel.Secret))
 	case message.Pull != nil:
 		body, _ := m.config.Provide(message.Pull.Digest)
-		answer := rosewire.Message{Content: &rosewire.Content{Digest: message.Pull.Digest, Body: body}}
-		m.mu.Lock()
-		m.send(Envelope{from, answer})
-		m.mu.Unlock()
+		m.sendTo(from, rosewire.Message{Content: &rosewire.Content{Digest: message.Pull.Digest, Body: body}})
 	case message.Content != nil:
 		m.deliver(from, *message.Content)
+	case message.Ask != nil:
+		grant := m.config.OnAsk(from, *message.Ask)
+		m.sendTo(from, rosewire.Message{Grant: &grant})
+	case message.Grant != nil:
+		m.config.OnGrant(*message.Grant)
 	default:
 		now := time.Now()
 		m.do(func(n *Node) ([]Envelope, []Event) { return n.Receive(now, from, message) })
 	}
 }
 
+func (m *Mesh) sendTo(to rosemary.ProxyID, message rosewire.Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.send(Envelope{to, message})
+}
+
+// Ask asks a peer for connections to a target; the answer comes by OnGrant.
+func (m *Mesh) Ask(to rosemary.ProxyID, ask rosewire.Ask) {
+	m.sendTo(to, rosewire.Message{Ask: &ask})
+}
+
 func (m *Mesh) deliver(from rosemary.ProxyID, content rosewire.Content) {
 	key := pullKey{from, content.Digest}
 	m.mu.Lock()
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -92,15 +92,18 @@
 	config      NodeConfig
 	incarnation uint64
 	peers       map[rosemary.ProxyID]*peer
-	leads       map[string]rosewire.Lead
-	neighbours  []rosemary.ProxyID
-	stale       bool
-	version     uint64
-	newest      uint64
-	beatAt      time.Time
-	draining    bool
-	news        rosewire.News
-	newsFrom    rosemary.ProxyID
+	// unsettled names the peers that aren't alive, so that a tick doesn't
+	// look at all.
+	unsettled  map[rosemary.ProxyID]struct{}
+	leads      map[string]rosewire.Lead
+	neighbours []rosemary.ProxyID
+	stale      bool
+	version    uint64
+	newest     uint64
+	beatAt     time.Time
+	draining   bool
+	news       rosewire.News
+	newsFrom   rosemary.ProxyID
 }
 
 // NewNode returns a node that knows only itself.
@@ -115,6 +118,7 @@
 		config:      config,
 		incarnation: max(config.Incarnation, 1),
 		peers:       make(map[rosemary.ProxyID]*peer),
+		unsettled:   make(map[rosemary.ProxyID]struct{}),
 		leads:       make(map[string]rosewire.Lead),
 		stale:       true,
 	}
@@ -268,12 +272,14 @@
 			events = append(events, n.change(now, p, StateSuspect))
 		}
 	}
-	for id, p := range n.peers {
+	for id := range n.unsettled {
+		p := n.peers[id]
 		switch {
 		case p.state == StateSuspect && now.Sub(p.changedAt) > refuteBeats*n.interval():
 			events = append(events, n.change(now, p, StateDead))
 		case p.state >= StateLeaving && now.Sub(p.changedAt) > forgetAfter:
 			delete(n.peers, id)
+			delete(n.unsettled, id)
 			n.stale = true
 		}
 	}
@@ -284,6 +290,11 @@
 func (n *Node) change(now time.Time, p *peer, state State) Event {
 	p.state = state
 	p.changedAt = now
+	if state == StateAlive {
+		delete(n.unsettled, p.member.Proxy)
+	} else {
+		n.unsettled[p.member.Proxy] = struct{}{}
+	}
 	n.stale = true
 	n.news.Members = append(n.news.Members, p.news())
 	return Event{Member: p.member, State: state}
--- a/pkg/rosepeer/tunnel.go
+++ b/pkg/rosepeer/tunnel.go
@@ -45,9 +45,23 @@
 		return
 	}
 	conn.SetReadLimit(-1)
-	join(websocket.NetConn(r.Context(), conn, websocket.MessageBinary), target)
+	join(newTunnelConn(r.Context(), conn), target)
 }
 
+// tunnelConn is a stream within a WebSocket. Its Close doesn't wait for the
+// other end, as that of a socket doesn't.
+type tunnelConn struct {
+	net.Conn
+	socket *websocket.Conn
+}
+
+func newTunnelConn(ctx context.Context, socket *websocket.Conn) *tunnelConn {
+	return &tunnelConn{websocket.NetConn(ctx, socket, websocket.MessageBinary), socket}
+}
+
+// Close ends the stream at once.
+func (c *tunnelConn) Close() error { return c.socket.CloseNow() }
+
 // join copies both ways until one side ends.
 func join(a, b net.Conn) {
 	var copies sync.WaitGroup
@@ -123,7 +137,7 @@
 			continue
 		}
 		conn.SetReadLimit(-1)
-		return websocket.NetConn(context.WithoutCancel(ctx), conn, websocket.MessageBinary), nil
+		return newTunnelConn(context.WithoutCancel(ctx), conn), nil
 	}
 	return nil, trace.ConnectionProblem(nil, "no peer reaches %s", address)
 }
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -2,6 +2,15 @@
 
 package rosewire
 
+// Ask is a demand for connections to a target beyond the sender's floor.
+type Ask struct {
+	// Target is the one whose connections are scarce.
+	Target string `cbor:"Target"`
+
+	// Want is the number of connections beyond the floor.
+	Want uint64 `cbor:"Want"`
+}
+
 // Cancel is a caller's cancel request that another proxy may know.
 type Cancel struct {
 	// ProcessID is the first half of the key.
@@ -20,6 +29,15 @@
 	Digest string `cbor:"Digest"`
 }
 
+// Grant lends connections until the time that an Ask began plus the hold.
+type Grant struct {
+	// Extra is the number of connections lent beyond the floor.
+	Extra uint64 `cbor:"Extra"`
+
+	// Target is that of the Ask.
+	Target string `cbor:"Target"`
+}
+
 // Heartbeat shows that the sender lives, and what it has.
 type Heartbeat struct {
 	// BundleVersion is the version in force at the sender.
@@ -89,12 +107,18 @@
 // Message is what one proxy sends to another. Exactly the fields that it carries
 // are set.
 type Message struct {
+	// Ask corresponds to the JSON schema field "Ask".
+	Ask *Ask `cbor:"Ask,omitempty"`
+
 	// Cancel corresponds to the JSON schema field "Cancel".
 	Cancel *Cancel `cbor:"Cancel,omitempty"`
 
 	// Content corresponds to the JSON schema field "Content".
 	Content *Content `cbor:"Content,omitempty"`
 
+	// Grant corresponds to the JSON schema field "Grant".
+	Grant *Grant `cbor:"Grant,omitempty"`
+
 	// Heartbeat corresponds to the JSON schema field "Heartbeat".
 	Heartbeat *Heartbeat `cbor:"Heartbeat,omitempty"`
 
