--- a/internal/rosestack/bench_test.go
+++ b/internal/rosestack/bench_test.go
@@ -41,6 +41,11 @@
 	c.Assert(err, qt.IsNil)
 	defer stack.Close()
 	time.Sleep(time.Second)
+	lookUp(b, c, stack)
+}
+
+// lookUp lets 64 callers of the first proxy look up as fast as they can.
+func lookUp(b *testing.B, c *qt.C, stack *rosestack.Stack) {
 	b.SetParallelism(64 / runtime.GOMAXPROCS(0))
 	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
@@ -68,19 +73,7 @@
 			c.Assert(err, qt.IsNil)
 			defer stack.Close()
 			time.Sleep(time.Second)
-			b.SetParallelism(64 / runtime.GOMAXPROCS(0))
-			b.ResetTimer()
-			b.RunParallel(func(pb *testing.PB) {
-				conn := connect(c, stack, 0, nil)
-				defer conn.Close(context.Background())
-				for pb.Next() {
-					if _, err := rosestack.Query(context.Background(), conn, benchRead); err != nil {
-						b.Error(err)
-						return
-					}
-				}
-			})
-			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+			lookUp(b, c, stack)
 		})
 	}
 }
--- a/internal/rosestack/protocol_test.go
+++ b/internal/rosestack/protocol_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -24,10 +23,7 @@
 }
 
 func TestRefusalsNameStateOutcomeAndRemedy(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "costa-rica")
-		defer stack.Close()
+	onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 		conn := connect(c, stack, 0, nil)
 		defer conn.Close(context.Background())
 		for _, test := range []struct{ statement, state, detail string }{
@@ -51,10 +47,7 @@
 }
 
 func TestPreparedStatementsFollowTheSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "costa-rica")
-		defer stack.Close()
+	onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 		ctx := context.Background()
 		conn := connect(c, stack, 0, nil)
 		defer conn.Close(ctx)
@@ -78,10 +71,7 @@
 }
 
 func TestDriverInItsDefaultMode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "guatemala")
-		defer stack.Close()
+	onStack(t, "guatemala", func(c *qt.C, stack *rosestack.Stack) {
 		ctx := context.Background()
 		config, err := pgx.ParseConfig("sslmode=disable")
 		c.Assert(err, qt.IsNil)
@@ -105,10 +95,7 @@
 }
 
 func TestCancelReachesOnlyItsOwnStatement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "costa-rica")
-		defer stack.Close()
+	onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 		ctx := context.Background()
 		victim, other := connect(c, stack, 0, nil), connect(c, stack, 0, nil)
 		defer victim.Close(ctx)
@@ -131,10 +118,7 @@
 
 func TestOutcomeAfterAProxyDied(t *testing.T) {
 	for _, committed := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
-			c := qt.New(t)
-			stack := startStack(c, "guatemala")
-			defer stack.Close()
+		onStack(t, "guatemala", func(c *qt.C, stack *rosestack.Stack) {
 			ctx := context.Background()
 			first := connect(c, stack, 0, nil)
 			query(c, first, "BEGIN /*request_id='pay-1'*/")
@@ -157,10 +141,7 @@
 }
 
 func TestDrainLetsATransactionEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "costa-rica")
-		defer stack.Close()
+	onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 		ctx := context.Background()
 		busy, idle := connect(c, stack, 0, nil), connect(c, stack, 0, nil)
 		query(c, busy, "BEGIN")
@@ -181,10 +162,7 @@
 }
 
 func TestASettingFollowsTheSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "costa-rica")
-		defer stack.Close()
+	onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 		ctx := context.Background()
 		conn := connect(c, stack, 0, nil)
 		defer conn.Close(ctx)
--- a/internal/rosestack/stack_test.go
+++ b/internal/rosestack/stack_test.go
@@ -25,6 +25,16 @@
 	return stack
 }
 
+// onStack runs check with a deployment in memory, on the test's clock.
+func onStack(t *testing.T, name string, check func(*qt.C, *rosestack.Stack)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stack := startStack(c, name)
+		defer stack.Close()
+		check(c, stack)
+	})
+}
+
 // connect opens a caller's connection to proxy i.
 func connect(c *qt.C, stack *rosestack.Stack, i int, settings map[string]string) *pgconn.PgConn {
 	conn, err := rosestack.Connect(context.Background(), stack.CallerDialer("caller"), stack.Proxies[i].Address, rosestack.CallerConfig{
@@ -45,10 +55,7 @@
 func TestReadYourWritesOnAnotherProxy(t *testing.T) {
 	for _, way := range []string{"token", "name"} {
 		t.Run(way, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := qt.New(t)
-				stack := startStack(c, "costa-rica")
-				defer stack.Close()
+			onStack(t, "costa-rica", func(c *qt.C, stack *rosestack.Stack) {
 				cluster := stack.Clusters["licencias1"]
 				cluster.Target("licencias1-2").SetLag(700 * time.Millisecond)
 				first := connect(c, stack, 0, nil)
@@ -72,10 +79,7 @@
 }
 
 func TestWriteWaitsForAQuorum(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		stack := startStack(c, "guatemala")
-		defer stack.Close()
+	onStack(t, "guatemala", func(c *qt.C, stack *rosestack.Stack) {
 		cluster := stack.Clusters["carreras1"]
 		for _, id := range []string{"carreras1-2", "carreras1-3"} {
 			cluster.Target(rosemary.TargetID(id)).SetLag(2 * time.Second)
--- a/internal/rosetarget/execute.go
+++ b/internal/rosetarget/execute.go
@@ -64,11 +64,16 @@
 	return nil, newError("42P01", "relation %q does not exist", name)
 }
 
-func (x *transaction) insert(ctx context.Context, s *statement, params []value) (*result, error) {
+// writableTable returns a table to write to.
+func (x *transaction) writableTable(name string) (*table, error) {
 	if err := x.writable(); err != nil {
 		return nil, err
 	}
-	t, err := x.target.lookup(s.table)
+	return x.target.lookup(name)
+}
+
+func (x *transaction) insert(ctx context.Context, s *statement, params []value) (*result, error) {
+	t, err := x.writableTable(s.table)
 	if err != nil {
 		return nil, err
 	}
@@ -194,10 +199,7 @@
 // change runs an UPDATE or a DELETE. Conditions are checked again once a row
 // is locked, so that a concurrent change isn't overwritten.
 func (x *transaction) change(ctx context.Context, s *statement, params []value) (*result, error) {
-	if err := x.writable(); err != nil {
-		return nil, err
-	}
-	t, err := x.target.lookup(s.table)
+	t, err := x.writableTable(s.table)
 	if err != nil {
 		return nil, err
 	}
