lend: ask for connections as soon as a statement waits

Change: a queue tells when a statement has to wait, and the ask goes out within 20 ms; control calls may open one connection beyond the limit, so a probe or a fence doesn't wait behind statements.

--- a/internal/rosedaemon/backend.go
+++ b/internal/rosedaemon/backend.go
@@ -68,6 +68,7 @@
 		b.pools[t.ID] = rosepool.NewPool(config)
 		b.queues[t.ID] = roseadmit.NewQueue(roseadmit.Config{
 			MaxInFlight:     share,
+			OnQueued:        d.noteQueued,
 			FirstInFirstOut: d.config.Baseline.FirstInFirstOut,
 		})
 		controls[t.ID] = rosepool.NewControl(config)
--- a/internal/rosedaemon/daemon.go
+++ b/internal/rosedaemon/daemon.go
@@ -82,6 +82,8 @@
 	content  *rosebundle.Content
 	backends map[string]*backend
 	unready  bool
+	// queued holds a token once a statement had to wait for a target.
+	queued chan struct{}
 	// lender keeps the books of the targets that this proxy lends.
 	lender *roselend.Lender
 	// targets is the number of targets that are watched.
@@ -92,6 +94,7 @@
 func New(config Config) *Daemon {
 	d := &Daemon{config: config, content: &rosebundle.Content{}, backends: make(map[string]*backend), metrics: rosefront.NewMetrics()}
 	d.lender = roselend.NewLender()
+	d.queued = make(chan struct{}, 1)
 	d.DrainAsked = make(chan struct{})
 	d.behind = make(chan rosemary.ProxyID, 1)
 	d.newMesh()
--- a/internal/rosedaemon/lend.go
+++ b/internal/rosedaemon/lend.go
@@ -21,7 +21,7 @@
 // borrow asks for connections where statements wait for them, and gives loans
 // back when their time is over.
 func (d *Daemon) borrow(ctx context.Context) {
-	for roseclock.Sleep(ctx, roselend.AskInterval) {
+	for d.awaitDemand(ctx) {
 		d.mu.Lock()
 		asks := d.asks(time.Now())
 		d.mu.Unlock()
@@ -31,6 +31,32 @@
 	}
 }
 
+// askPause bounds the rate of asks while statements wait.
+const askPause = 20 * time.Millisecond
+
+// awaitDemand waits until a statement had to wait, or until loans are due for
+// a look. It reports false when ctx ended.
+func (d *Daemon) awaitDemand(ctx context.Context) bool {
+	if !roseclock.Sleep(ctx, askPause) {
+		return false
+	}
+	timer := time.NewTimer(roselend.AskInterval)
+	defer timer.Stop()
+	select {
+	case <-d.queued:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+func (d *Daemon) noteQueued() {
+	select {
+	case d.queued <- struct{}{}:
+	default:
+	}
+}
+
 // asks lists what to ask for. The lock is held.
 func (d *Daemon) asks(now time.Time) []rosewire.Ask {
 	var asks []rosewire.Ask
--- a/pkg/roseadmit/queue.go
+++ b/pkg/roseadmit/queue.go
@@ -29,6 +29,8 @@
 	MaxQueued int
 	// MaxQueuedPerTenant bounds the waiting requests of one tenant.
 	MaxQueuedPerTenant int
+	// OnQueued is told that a request has to wait. It must not block.
+	OnQueued func()
 	// FirstInFirstOut replaces fair queueing; it is the baseline that the
 	// load tool compares with.
 	FirstInFirstOut bool
@@ -88,6 +90,9 @@
 	}
 	w := q.enqueue(flow)
 	q.mu.Unlock()
+	if q.config.OnQueued != nil {
+		q.config.OnQueued()
+	}
 	select {
 	case <-w.ready:
 		return q.ticket(flow), nil
--- /dev/null
+++ b/pkg/rosebundle/rollout_test.go
@@ -0,0 +1,165 @@
+package rosebundle_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// memoryStore is a store that can lose answers.
+type memoryStore struct {
+	entries  map[string]rosemary.Entry
+	revision int64
+	// lose is the number of swaps whose answer is lost after their effect.
+	lose int
+}
+
+func (s *memoryStore) Get(_ context.Context, key string) (rosemary.Entry, error) {
+	entry, found := s.entries[key]
+	if !found {
+		return entry, trace.NotFound("no %s", key)
+	}
+	return entry, nil
+}
+
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, revision int64, value []byte) (bool, error) {
+	if s.entries[key].Revision != revision {
+		return false, nil
+	}
+	s.revision++
+	s.entries[key] = rosemary.Entry{Value: value, Revision: s.revision}
+	if key == "Bundle/Current" && s.lose > 0 {
+		s.lose--
+		return false, trace.ConnectionProblem(nil, "no answer")
+	}
+	return true, nil
+}
+
+func (*memoryStore) Watch(context.Context, string) (<-chan rosemary.Entry, error) { return nil, nil }
+
+func key(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func operator(name string) rosebundle.Operator {
+	public, _ := key(name).Public().(ed25519.PublicKey)
+	return rosebundle.Operator{Name: name, PublicKey: base64.StdEncoding.EncodeToString(public)}
+}
+
+func content(weight int, operators ...string) *rosebundle.Content {
+	c := largeContent(2, key("ana"))
+	c.Operators = nil
+	for _, name := range operators {
+		c.Operators = append(c.Operators, operator(name))
+	}
+	c.Signatures = len(operators)
+	c.Classes[0].Weight = weight
+	return c
+}
+
+// proposal builds the successor of parent, signed by names.
+func proposal(c *rosebundle.Content, parent rosebundle.Manifest, names ...string) rosebundle.Proposal {
+	m, parts := rosebundle.Build(c, parent)
+	for _, name := range names {
+		m = m.WithSignature(name, key(name))
+	}
+	return rosebundle.Proposal{Manifest: m, Parts: parts}
+}
+
+func TestProposals(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := &memoryStore{entries: make(map[string]rosemary.Entry)}
+	first := proposal(content(1, "ana", "luis"), rosebundle.Manifest{}, "ana", "luis")
+	c.Check(trace.IsAccessDenied(rosebundle.Propose(ctx, store, proposal(content(1, "ana", "luis"), rosebundle.Manifest{}, "ana"))), qt.IsTrue)
+	c.Assert(rosebundle.Propose(ctx, store, first), qt.IsNil)
+	c.Assert(rosebundle.Propose(ctx, store, first), qt.IsNil, qt.Commentf("again"))
+
+	store.lose = 1
+	winner := proposal(content(2, "ana", "luis"), first.Manifest, "ana", "luis")
+	c.Assert(rosebundle.Propose(ctx, store, winner), qt.IsNil, qt.Commentf("with its answer lost"))
+	var raced *rosebundle.RacedError
+	err := rosebundle.Propose(ctx, store, proposal(content(3, "ana", "luis"), first.Manifest, "ana", "luis"))
+	c.Assert(errors.As(err, &raced), qt.IsTrue)
+	c.Check(raced.Winner.Digest(), qt.Equals, winner.Manifest.Digest())
+
+	gone := content(2, "ana", "luis")
+	gone.Databases[0].Targets[2].ID = "another"
+	err = rosebundle.Propose(ctx, store, proposal(gone, winner.Manifest, "ana", "luis"))
+	c.Check(err, qt.ErrorMatches, `.*goes without having been leaving.*`)
+}
+
+func TestOnlyNewerSignedBundlesComeIntoForce(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	parts := make(rosebundle.Parts)
+	add := func(p rosebundle.Proposal) string {
+		for digest, text := range p.Parts {
+			parts[digest] = text
+		}
+		parts[p.Manifest.Digest()] = p.Manifest.Encode()
+		return p.Manifest.Encode()
+	}
+	fetch := func(_ context.Context, digest string) (string, error) {
+		if text, found := parts[digest]; found {
+			return text, nil
+		}
+		return "", trace.NotFound("no part %s", digest)
+	}
+	v1 := proposal(content(1, "ana", "luis"), rosebundle.Manifest{}, "ana", "luis")
+	v2 := proposal(content(2, "ana", "eva"), v1.Manifest, "ana", "luis")
+	v3 := proposal(content(3, "ana", "eva"), v2.Manifest, "ana", "eva")
+	forged := proposal(content(4, "mallory"), v3.Manifest, "mallory")
+	half := proposal(content(4, "ana", "eva"), v3.Manifest, "ana")
+	tampered := proposal(content(4, "ana", "eva"), v3.Manifest, "ana", "eva")
+	tampered.Manifest.Pages[0] = v1.Manifest.Pages[0]
+	stranger := proposal(content(9, "mallory"), rosebundle.Manifest{}, "mallory")
+	for _, p := range []rosebundle.Proposal{v1, v2, v3, forged, half, tampered, stranger} {
+		add(p)
+	}
+	take := func(anchors []string, texts ...string) string {
+		var versions []uint64
+		list := rosebundle.OperatorList{Signatures: len(anchors)}
+		for _, name := range anchors {
+			list.Operators = append(list.Operators, operator(name))
+		}
+		r := rosebundle.NewRollout(rosebundle.RolloutConfig{
+			Anchors: list,
+			Apply:   func(_ *rosebundle.Content, m rosebundle.Manifest) { versions = append(versions, m.Version) },
+		})
+		for _, text := range texts {
+			_ = r.Take(ctx, text, fetch)
+		}
+		return fmt.Sprint(versions)
+	}
+	e := func(p rosebundle.Proposal) string { return p.Manifest.Encode() }
+	for _, test := range []struct {
+		name    string
+		anchors []string
+		texts   []string
+		want    string
+	}{
+		{"in order", []string{"ana", "luis"}, []string{e(v1), e(v2), e(v3)}, "[1 2 3]"},
+		{"over a change of operators", []string{"ana", "luis"}, []string{e(v1), e(v3)}, "[1 3]"},
+		{"older after newer", []string{"ana", "luis"}, []string{e(v1), e(v2), e(v1)}, "[1 2]"},
+		{"forged", []string{"ana", "luis"}, []string{e(v1), e(v3), e(forged)}, "[1 3]"},
+		{"half signed", []string{"ana", "luis"}, []string{e(v1), e(v3), e(half)}, "[1 3]"},
+		{"tampered", []string{"ana", "luis"}, []string{e(v1), e(v3), e(tampered)}, "[1 3]"},
+		{"first by strangers", []string{"ana", "luis"}, []string{e(stranger)}, "[]"},
+		{"first with newer operators", []string{"ana"}, []string{e(v3)}, "[3]"},
+		{"no manifest", []string{"ana"}, []string{"{"}, "[]"},
+	} {
+		c.Check(take(test.anchors, test.texts...), qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
--- a/pkg/rosepool/command.go
+++ b/pkg/rosepool/command.go
@@ -39,7 +39,7 @@
 }
 
 func (c *Commander) with(ctx context.Context, call func(*Control) (rosemary.Status, error)) (rosemary.Status, error) {
-	conn, err := c.pool.Acquire(ctx)
+	conn, err := c.pool.acquire(ctx, reserved)
 	if err != nil {
 		return rosemary.Status{}, err
 	}
--- a/pkg/rosepool/pool.go
+++ b/pkg/rosepool/pool.go
@@ -62,11 +62,20 @@
 // Nothing was sent on behalf of the caller when it fails. Errors are
 // trace.ConnectionProblem and trace.LimitExceeded, and those of ctx.
 func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
+	return p.acquire(ctx, 0)
+}
+
+// reserved is the number of connections beyond the limit that control calls
+// may open: a failover or a probe must not wait behind statements.
+const reserved = 1
+
+// acquire is Acquire with some connections beyond the limit.
+func (p *Pool) acquire(ctx context.Context, beyond int) (*Conn, error) {
 	for {
 		if err := ctx.Err(); err != nil {
 			return nil, trace.ConnectionProblem(err, "connection to target %s", p.config.Target.ID)
 		}
-		conn, wait, err := p.take()
+		conn, wait, err := p.take(beyond)
 		if err != nil {
 			return nil, err
 		}
@@ -91,7 +100,7 @@
 
 // take returns an idle connection, or none with a place to open one, or a
 // channel to wait on.
-func (p *Pool) take() (*Conn, <-chan struct{}, error) {
+func (p *Pool) take(beyond int) (*Conn, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -102,7 +111,7 @@
 		p.idle = p.idle[:last]
 		return conn, nil, nil
 	}
-	if p.open >= p.limit {
+	if p.open >= p.limit+beyond {
 		return nil, p.freed, nil
 	}
 	p.open++
--- /dev/null
+++ b/pkg/rosesession/token_test.go
@@ -0,0 +1,38 @@
+package rosesession_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosesession"
+)
+
+func TestTokens(t *testing.T) {
+	c := qt.New(t)
+	old, err := rosesession.NewKeys([]byte("the key of last year"))
+	c.Assert(err, qt.IsNil)
+	both, err := rosesession.NewKeys([]byte("the key of this year"), []byte("the key of last year"))
+	c.Assert(err, qt.IsNil)
+	fresh, err := rosesession.NewKeys([]byte("the key of this year"))
+	c.Assert(err, qt.IsNil)
+	session := rosesession.NewSession("clerk", "db").WithFloor(rosemary.Position{LogTerm: 3, Offset: 41}).WithUnknownFloor()
+	token := old.Token(session)
+
+	opened, err := both.Open(token, "clerk", "db")
+	c.Assert(err, qt.IsNil)
+	c.Check(opened, qt.DeepEquals, session)
+	for name, attempt := range map[string]func() error{
+		"retired key":      func() error { _, err := fresh.Open(token, "clerk", "db"); return err },
+		"other tenant":     func() error { _, err := both.Open(token, "runner", "db"); return err },
+		"other database":   func() error { _, err := both.Open(token, "clerk", "other"); return err },
+		"changed":          func() error { _, err := both.Open("A"+token[1:], "clerk", "db"); return err },
+		"without a dot":    func() error { _, err := both.Open("token", "clerk", "db"); return err },
+		"cut off":          func() error { _, err := both.Open(token[:len(token)-2], "clerk", "db"); return err },
+		"of a short key":   func() error { _, err := rosesession.NewKeys([]byte("short")); return err },
+		"of no key at all": func() error { _, err := rosesession.NewKeys(); return err },
+	} {
+		c.Check(attempt(), qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
