load: a slow store, one that answers from the past, a target's own sign

The proxies that restarted meanwhile had not held it before, so this run says little of reversion; store-down-at-boot and proxy-restart do.

--- a/internal/roseload/fault_bundle.go
+++ b/internal/roseload/fault_bundle.go
@@ -23,6 +23,7 @@
 	addFault(fault{name: "bundle-rollout", strike: strikeRollout})
 	addFault(fault{name: "bundle-race", strike: strikeRace})
 	addFault(fault{name: "target-leaving", strike: strikeLeaving})
+	addFault(fault{name: "target-leaving-sign", strike: strikeLeavingSign})
 	addFault(fault{name: "proxy-restart", strike: strikeRestart})
 	addFault(fault{name: "zone-cut+bundle", strike: strikeCutBundle, heal: healCutBundle, stopsWrites: true})
 	addFault(fault{name: "store-down-at-boot", strike: strikeBoot, heal: healStore})
@@ -71,6 +72,13 @@
 	f.run.leaving(id)
 }
 
+// strikeLeavingSign lets a replica itself ask for no new work.
+func strikeLeavingSign(_ context.Context, f *faults) {
+	replica := f.replicas()[0]
+	replica.SetLeaving(true)
+	f.run.leaving(string(replica.Status().Target))
+}
+
 // strikeRestart replaces proxies, whose VMs keep nothing, while bundles come.
 func strikeRestart(ctx context.Context, f *faults) {
 	for i := range len(f.run.stack.Proxies) / 2 {
--- a/internal/roseload/fault_store.go
+++ b/internal/roseload/fault_store.go
@@ -16,6 +16,8 @@
 func init() {
 	addFault(fault{name: "store-down", strike: strikeStoreDown, heal: healStore})
 	addFault(fault{name: "store-lost-answers", strike: strikeLostAnswers, heal: healStore})
+	addFault(fault{name: "store-slow", strike: strikeStoreSlow, heal: healStore})
+	addFault(fault{name: "store-from-past", strike: strikeStorePast, heal: healStore})
 	addFault(fault{name: "supervisor-paused", strike: strikePaused, heal: healNetwork, stopsWrites: true})
 }
 
@@ -23,7 +25,20 @@
 
 func strikeLostAnswers(_ context.Context, f *faults) { f.run.stack.Platform.SetLoseAnswers(true) }
 
+// slowStore is how much longer each call takes at a slow store.
+const slowStore = 700 * time.Millisecond
+
+func strikeStoreSlow(_ context.Context, f *faults) { f.run.stack.Platform.SetDelay(slowStore) }
+
+// strikeStorePast accepts a bundle and then lets reads answer from before it.
+func strikeStorePast(ctx context.Context, f *faults) {
+	f.run.stack.Platform.SetFromPast(true)
+	strikeRestart(ctx, f)
+}
+
 func healStore(f *faults) {
+	f.run.stack.Platform.SetDelay(0)
+	f.run.stack.Platform.SetFromPast(false)
 	f.run.stack.Platform.SetDown(false)
 	f.run.stack.Platform.SetLoseAnswers(false)
 }
--- a/internal/roseload/run_test.go
+++ b/internal/roseload/run_test.go
@@ -70,6 +70,10 @@
 	"store-down-at-boot",
 	"bundle-rollout+primary-crash",
 	"bundle-race+store-lost-answers",
+	"target-leaving-sign",
+	"store-slow",
+	"store-slow+primary-crash",
+	"store-from-past",
 }
 
 func TestHistoriesKeepEveryPromise(t *testing.T) {
