supervisor: claim vacant duties in their order, between renewals too

The order of claims (400 ms a place) is finer than the tick (2 s), so it ordered nothing. Ruled out: the unknown primary, which was known at 0.4 s. Change: between renewals a proxy looks locally, without a call, whether its turn has come.

--- a/pkg/rosesupervisor/duty.go
+++ b/pkg/rosesupervisor/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	// urgentTick separates looks at vacant duties while a group lacks a
 	// primary.
 	urgentTick = 300 * time.Millisecond
+	// claimTick separates looks at whether this proxy's turn to claim a vacant
+	// duty has come; it is a fraction of takeoverPause and calls no store.
+	claimTick = 100 * time.Millisecond
 	// dutyRetry follows a renewal that failed.
 	dutyRetry = 200 * time.Millisecond
 	// dutyMargin is taken off the lifetime for a holder's own use: it stops
@@ -141,11 +145,38 @@
 			d.ask(ctx)
 			pause = dutyRetry
 		}
-		roseclock.Sleep(ctx, pause)
+		d.rest(ctx, pause)
 	}
 	d.release()
 }
 
+// rest lets a pause go by, or less if this proxy's turn to claim a vacant duty
+// comes sooner: the order of claims is finer than the renewals. A claim that
+// fails is not repeated before dutyRetry.
+func (d *Duty) rest(ctx context.Context, pause time.Duration) {
+	until := d.config.Clock.Now().Add(pause)
+	roseclock.Sleep(ctx, min(pause, dutyRetry))
+	for {
+		left := until.Sub(d.config.Clock.Now())
+		if left <= 0 || ctx.Err() != nil {
+			return
+		}
+		d.mu.Lock()
+		vacant := maps.Clone(d.vacant)
+		members := d.members
+		d.mu.Unlock()
+		for group, since := range vacant {
+			if d.config.Clock.Now().Sub(since) >= d.claimPause(group, members) {
+				return
+			}
+		}
+		if len(vacant) > 0 {
+			left = min(left, claimTick)
+		}
+		roseclock.Sleep(ctx, left)
+	}
+}
+
 // release gives the duties and the registration back at once.
 func (d *Duty) release() {
 	d.mu.Lock()
@@ -372,14 +403,19 @@
 		d.vacant[group] = now
 	}
 	d.mu.Unlock()
+	if item.Revision == 0 && now.Sub(since) < d.claimPause(group, members) {
+		return
+	}
+	d.claim(ctx, group, item.Revision, lease)
+}
+
+// claimPause is how long this proxy leaves a vacant duty to others.
+func (d *Duty) claimPause(group string, members []rosemary.Member) time.Duration {
 	pause := time.Duration(d.rank(group, members)) * takeoverPause
 	if zone, _ := d.config.Avoid(group); zone == "" {
 		pause += avoidPause
 	}
-	if item.Revision == 0 && now.Sub(since) < pause {
-		return
-	}
-	d.claim(ctx, group, item.Revision, lease)
+	return pause
 }
 
 // rank is this proxy's place in the order in which a group's duty is claimed.
