--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -19,7 +19,7 @@
 	// six samples within rosegroup.PermissionTime.
 	sampleInterval = 300 * time.Millisecond
 	// sharedTime is how old the status of another proxy may be that saves a
-	// sample.
+	// sample. What is left of rosegroup.PermissionTime then suffices for one.
 	sharedTime = 650 * time.Millisecond
 	// searchInterval separates them while no primary is certain.
 	searchInterval = 50 * time.Millisecond
@@ -34,15 +34,16 @@
 	nudged := true
 	for ctx.Err() == nil {
 		certain := p.group.Certain()
-		if nudged || !certain || !p.shared() {
+		rest := p.sharedFor()
+		if nudged || !certain || rest <= 0 {
 			p.sampleOnce(ctx)
+			rest = sampleInterval - sampleInterval/8 + rand.N(sampleInterval/4)
 		}
 		nudged = false
-		interval := sampleInterval
 		if !certain {
-			interval = searchInterval
+			rest = searchInterval - searchInterval/8 + rand.N(searchInterval/4)
 		}
-		timer := time.NewTimer(interval - interval/8 + rand.N(interval/4))
+		timer := time.NewTimer(rest)
 		select {
 		case <-timer.C:
 		case <-p.wake:
@@ -56,12 +57,16 @@
 	}
 }
 
-// shared reports whether another proxy samples the target for this one.
-func (p *place) shared() bool {
+// sharedFor returns how long the status that another proxy has sampled still
+// saves a sample.
+func (p *place) sharedFor() time.Duration {
 	g := p.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !p.sharedAt.IsZero() && g.config.Clock.Now().Sub(p.sharedAt) < sharedTime && p.failingSince.IsZero()
+	if p.sharedAt.IsZero() || !p.failingSince.IsZero() {
+		return 0
+	}
+	return p.sharedAt.Add(sharedTime).Sub(g.config.Clock.Now())
 }
 
 // Share returns the statuses that this proxy has sampled itself of late.
