--- a/internal/rosecommand/vm.go
+++ b/internal/rosecommand/vm.go
@@ -75,7 +75,7 @@
 	drainer := &drainer{}
 	node := newNode(settings, drainer.cutOff)
 	node.Metrics().CountDropped(lines.Dropped)
-	drainer.front = roseplatform.NewFront(node, quickDialer{})
+	drainer.front = roseplatform.NewFront(node)
 	return serveVM(ctx, path, settings, node, drainer)
 }
 
@@ -84,7 +84,7 @@
 	return rosenode.New(rosenode.Config{
 		Self: rosemary.Member{
 			Proxy: rosemary.ProxyID(settings.Name), Zone: rosemary.Zone(settings.Zone), Address: settings.Listen.Peers,
-			Forward: settings.Listen.Forward, Weight: int(settings.Limits.CoreShare * weightOfCore),
+			Weight: int(settings.Limits.CoreShare * weightOfCore),
 		},
 		Incarnation:    strconv.FormatInt(time.Now().UnixNano(), 36),
 		Store:          store,
@@ -101,7 +101,7 @@
 func serveVM(ctx context.Context, path string, settings rosesettings.VM, node *rosenode.Node, drainer *drainer) error {
 	var config net.ListenConfig
 	var listeners []net.Listener
-	for _, address := range []string{settings.Listen.Callers, settings.Listen.Ready, settings.Listen.Admin, settings.Listen.Peers, settings.Listen.Forward} {
+	for _, address := range []string{settings.Listen.Callers, settings.Listen.Ready, settings.Listen.Admin, settings.Listen.Peers} {
 		listener, err := config.Listen(ctx, "tcp", address)
 		if err != nil {
 			return trace.ConvertSystemError(err)
@@ -117,7 +117,6 @@
 	tasks.Go(func() error { return drainer.front.Serve(listeners[0]) })
 	tasks.Go(func() error { return closedIsFine(ready.Serve(listeners[1])) })
 	tasks.Go(func() error { return closedIsFine(admin.Serve(listeners[2])) })
-	tasks.Go(func() error { return drainer.front.ServeForwarded(listeners[4]) })
 	tasks.Go(func() error { return closedIsFine(node.ServePeers(listeners[3])) })
 	tasks.Go(func() error {
 		node.Run(running)
@@ -127,7 +126,7 @@
 	klog.InfoS("proxy started", "proxy", settings.Name, "zone", settings.Zone, "callers", settings.Listen.Callers,
 		"store", settings.Store.Address)
 	<-ctx.Done()
-	shutDown([]net.Listener{listeners[0], listeners[4]}, settings, node, drainer)
+	shutDown(listeners[0], settings, node, drainer)
 	stop()
 	_ = ready.Close()
 	_ = admin.Close()
@@ -167,26 +166,30 @@
 }
 
 // shutDown ends every session at a border, within the grace.
-func shutDown(callers []net.Listener, settings rosesettings.VM, node *rosenode.Node, drainer *drainer) {
+func shutDown(callers net.Listener, settings rosesettings.VM, node *rosenode.Node, drainer *drainer) {
 	front := drainer.front
 	started := time.Now()
 	grace := time.Duration(settings.Limits.GraceTime)
 	klog.InfoS("proxy stopping", "proxy", settings.Name, "callers", front.Callers(), "grace", grace)
 	node.Unready()
 	idleFrom := started.Add(min(rotationTime, grace/3))
-	drainer.stop(rosecaller.Drain{Idle: idleFrom, Blocks: started.Add(grace / 2)})
+	drain := rosecaller.Drain{Idle: idleFrom, Blocks: started.Add(grace / 2)}
+	node.SetDrain(drain)
+	drainer.stop(drain)
 	time.Sleep(time.Until(idleFrom))
-	for _, l := range callers {
-		l.Close()
-	}
+	callers.Close()
+	deadline := started.Add(grace - lastAnswerTime)
 	done := make(chan struct{})
 	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
 		front.Wait()
+		node.Wait(ctx)
 		close(done)
 	}()
 	select {
 	case <-done:
-	case <-time.After(time.Until(started.Add(grace - lastAnswerTime))):
+	case <-time.After(time.Until(deadline)):
 		klog.InfoS("proxy stops with callers left", "callers", front.Callers())
 		front.Close()
 	}
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -93,7 +93,7 @@
 		return targetsInterval
 	}
 	for _, g := range n.groups {
-		if g.home || g.sessions > 0 {
+		if g.home || g.visited() {
 			return targetsInterval
 		}
 	}
@@ -198,10 +198,10 @@
 		free := freeConnections(rule, slotsOf(name, n.listings))
 		all := homes(name, free, members)
 		g.home = isHome(n.config.Self.Proxy, all)
-		if !g.home && g.sessions > 0 && !fresh {
+		if !g.home && g.visited() && !fresh {
 			continue
 		}
-		if !g.home && g.sessions == 0 {
+		if !g.home && !g.visited() {
 			own = nil
 		}
 		if n.listed {
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -1,7 +1,6 @@
 package rosenode
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
@@ -99,38 +98,3 @@
 	}
 	return slots
 }
-
-// Homes returns the proxies that a session on a database is passed on to, none
-// if it is served here: those of this proxy's zone first.
-func (n *Node) Homes(database string) []rosemary.Member {
-	route, found := n.Route(database)
-	c := n.configuration.Load()
-	if !found || c == nil {
-		return nil
-	}
-	all := n.homesOf(route.Group, c)
-	if isHome(n.config.Self.Proxy, all) {
-		return nil
-	}
-	live := n.mesh.Live()
-	var near, far []rosemary.Member
-	for _, m := range all {
-		alive := slices.ContainsFunc(live, func(l rosemary.Member) bool { return l.Proxy == m.Proxy })
-		switch {
-		case m.Forward == "" || !alive:
-		case m.Zone == n.config.Self.Zone:
-			near = append(near, m)
-		default:
-			far = append(far, m)
-		}
-	}
-	shuffle := func(list []rosemary.Member) {
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	}
-	shuffle(near)
-	shuffle(far)
-	return append(near, far...)
-}
-
-// Gone reports whether no proxy hears a proxy any more.
-func (n *Node) Gone(id rosemary.ProxyID) bool { return n.mesh.Gone(id) }
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
+	"github.com/rosemarywell/rosemarywell/pkg/roserelay"
 	"github.com/rosemarywell/rosemarywell/pkg/rosesupervisor"
 )
 
@@ -48,6 +49,9 @@
 	duty    *rosesupervisor.Duty
 	budget  *roseadmit.Budget
 	mesh    *rosepeer.Mesh
+	carrier *rosecaller.Carrier
+	relays  *roserelay.Server
+	homes   *roserelay.Client
 	metrics *Metrics
 	started time.Time
 	pulling atomic.Bool
@@ -74,12 +78,16 @@
 	*rosefleet.Group
 	replacer *rosesupervisor.Replacer
 	cancel   context.CancelFunc
-	// home is set while this proxy is one of the group's, and sessions counts
-	// those that it serves here. Both are under the node's lock.
-	home     bool
-	sessions int
+	// home is set while this proxy is one of the group's, and visitedTill is
+	// until when it keeps targets to serve the group without being one. Both
+	// are under the node's lock.
+	home        bool
+	visitedTill time.Time
 }
 
+// visited reports whether the group is served here without being at home.
+func (g *group) visited() bool { return time.Now().Before(g.visitedTill) }
+
 var (
 	_ rosecaller.Directory = (*Node)(nil)
 	_ rosecaller.Observer  = (*Node)(nil)
@@ -100,6 +108,9 @@
 		readTargets: make(chan struct{}, 1),
 	}
 	n.mesh = n.newMesh()
+	n.carrier = rosecaller.NewCarrier(rosecaller.CarrierConfig{Group: n.Group, Budget: n.budget})
+	n.relays = roserelay.NewServer(roserelay.ServerConfig{Executor: here{n}})
+	n.homes = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.Dialer})
 	n.duty = rosesupervisor.NewDuty(rosesupervisor.DutyConfig{
 		Store:       config.Store,
 		Clock:       config.Clock,
@@ -135,6 +146,8 @@
 		g.cancel()
 	}
 	n.tasks.Wait()
+	n.homes.Close()
+	n.relays.Close()
 	for _, g := range groups {
 		g.Close()
 	}
@@ -202,8 +215,7 @@
 
 // Open returns a session on a database.
 func (n *Node) Open(database string) (*rosecaller.Session, *rosemary.Refusal) {
-	route, found := n.Route(database)
-	if !found {
+	if _, found := n.Route(database); !found {
 		refusal := &rosemary.Refusal{
 			Kind: rosemary.KindDatabase, Outcome: rosemary.OutcomeNotRun,
 			Message: "there is no such database", Remedy: "look at the configuration in force",
@@ -211,34 +223,7 @@
 		n.Refused(database, "", refusal, "")
 		return nil, refusal
 	}
-	n.visit(route.Group, 1)
-	return rosecaller.New(rosecaller.Config{
-		Directory: n, Database: database, Budget: n.budget, Observer: n,
-		OnClose: func() { n.visit(route.Group, -1) },
-	}), nil
-}
-
-// visit counts the sessions on a group that are served here. The first one on
-// a group that has its homes elsewhere brings its targets.
-func (n *Node) visit(group string, change int) {
-	n.mu.Lock()
-	g := n.groups[group]
-	if g == nil {
-		n.mu.Unlock()
-		return
-	}
-	g.sessions += change
-	first := !g.home && change > 0 && g.sessions == 1
-	n.mu.Unlock()
-	if !first {
-		return
-	}
-	klog.InfoS("group served without being its home", "group", group)
-	// What a proxy that is no home knows of targets is old.
-	select {
-	case n.readTargets <- struct{}{}:
-	default:
-	}
+	return rosecaller.New(rosecaller.Config{Directory: n, Database: database, Executor: placement{n}, Observer: n}), nil
 }
 
 // Route returns the route of a database in the configuration in force.
@@ -273,9 +258,11 @@
 	return defaultTransactionIdle
 }
 
-// Served counts an answer.
-func (n *Node) Served(class string, kind rosemary.StatementKind, primary bool, took time.Duration) {
-	n.metrics.served(class, kind, primary, took)
+// Served counts and logs an answer.
+func (n *Node) Served(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
+	n.metrics.served(task.Route.Class.Name, task.Statement.Kind, result.Primary, took)
+	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "kind", task.Statement.Kind,
+		"target", result.Target, "primary", result.Primary, "us", took.Microseconds())
 }
 
 // Refused counts and logs a refusal.
@@ -320,5 +307,14 @@
 	n.mesh.Leave()
 }
 
+// SetDrain ends the transactions that other proxies have open here.
+func (n *Node) SetDrain(drain rosecaller.Drain) { n.relays.SetDrain(drain) }
+
+// Wait returns once nothing is under way here for other proxies, or ctx ends.
+func (n *Node) Wait(ctx context.Context) { n.relays.Wait(ctx) }
+
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *Metrics { return n.metrics }
+
+// Zone is the availability zone that the proxy runs in.
+func (n *Node) Zone() rosemary.Zone { return n.config.Self.Zone }
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
+	"github.com/rosemarywell/rosemarywell/pkg/roserelay"
 	"github.com/rosemarywell/rosemarywell/pkg/rosesupervisor"
 	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
 )
@@ -70,7 +71,10 @@
 
 // ServePeers accepts peers from listener until it is closed.
 func (n *Node) ServePeers(listener net.Listener) error {
-	server := &http.Server{Handler: n.mesh.Handler(), ReadHeaderTimeout: peerHeaderTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("/", n.mesh.Handler())
+	mux.Handle("GET "+roserelay.Path, n.relays)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	return server.Serve(listener)
 }
 
--- a/internal/rosesettings/vm.go
+++ b/internal/rosesettings/vm.go
@@ -39,8 +39,6 @@
 	Admin string
 	// Peers is where other proxies connect.
 	Peers string
-	// Forward is where other proxies pass sessions on.
-	Forward string
 }
 
 // Address is where a service of the platform is.
@@ -104,7 +102,6 @@
 		{"Listen.Ready", v.Listen.Ready},
 		{"Listen.Admin", v.Listen.Admin},
 		{"Listen.Peers", v.Listen.Peers},
-		{"Listen.Forward", v.Listen.Forward},
 		{"Store.Address", v.Store.Address},
 		{"Promoter.Address", v.Promoter.Address},
 	}
--- a/pkg/rosecaller/run.go
+++ b/pkg/rosecaller/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -24,6 +25,85 @@
 	retryPause = 5 * time.Millisecond
 )
 
+// CarrierConfig sets up a Carrier.
+type CarrierConfig struct {
+	// Group returns the targets of a group.
+	Group  func(name string) (*rosefleet.Group, bool)
+	Budget *roseadmit.Budget
+}
+
+// Carrier runs tasks on the targets that this proxy has links to.
+type Carrier struct {
+	config CarrierConfig
+}
+
+var _ Executor = (*Carrier)(nil)
+
+// NewCarrier returns a carrier.
+func NewCarrier(config CarrierConfig) *Carrier { return &Carrier{config} }
+
+// Run runs a statement outside a transaction.
+func (c *Carrier) Run(ctx context.Context, task Task) Result {
+	c.config.Budget.Earn()
+	j := &job{carrier: c, task: task}
+	return j.result(j.runAlone(ctx, task.Statement))
+}
+
+// Begin opens a transaction with its first statement.
+func (c *Carrier) Begin(ctx context.Context, task Task) (Transaction, Result) {
+	c.config.Budget.Earn()
+	j := &job{carrier: c, task: task, block: rosemary.BlockOpen}
+	result := j.result(j.runFirst(ctx, task.Statement))
+	if !result.Open {
+		return nil, result
+	}
+	return j, result
+}
+
+// job is one task, or one transaction with the task that it runs now.
+type job struct {
+	carrier *Carrier
+	task    Task
+	block   rosemary.Block
+	lease   *rosefleet.Lease
+	wrote   bool
+	// target is the last one that the job had a lease on.
+	target  rosemary.TargetID
+	primary bool
+}
+
+var _ Transaction = (*job)(nil)
+
+// Next runs a further statement of the transaction.
+func (j *job) Next(_ context.Context, task Task) Result {
+	j.task = task
+	return j.result(j.runNext(task.Deadline, task.Statement))
+}
+
+// Rollback ends what is open on a target and gives the link back.
+func (j *job) Rollback() {
+	if j.lease == nil {
+		return
+	}
+	answers, _, err := j.lease.Exchange(time.Now().Add(rollbackTimeout), rosemary.Statement{Kind: rosemary.StatementRollback})
+	j.lease.Release(err == nil && answers[0].Block == rosemary.BlockIdle)
+	j.lease = nil
+}
+
+// took records which target a lease is on.
+func (j *job) took(lease *rosefleet.Lease) { j.target, j.primary = lease.Target(), lease.Primary() }
+
+func (j *job) result(answer rosemary.Answer, refusal *rosemary.Refusal) Result {
+	answer.Block = j.block
+	return Result{
+		Answer: answer, Refusal: refusal, Floor: j.task.Floor, Uncertain: j.task.Uncertain,
+		Target: j.target, Primary: j.primary, Open: j.lease != nil,
+	}
+}
+
+// rollbackTimeout bounds the rollback of a transaction on a target.
+const rollbackTimeout = 500 * time.Millisecond
+
 // attempt is one statement on its way through its tries.
 type attempt struct {
 	statement rosemary.Statement
@@ -36,33 +116,32 @@
 	tries   int
 }
 
-func (s *Session) newAttempt(statement rosemary.Statement) (*attempt, *rosemary.Refusal) {
-	group, found := s.config.Directory.Group(s.route.Group)
+func (j *job) newAttempt(statement rosemary.Statement) (*attempt, *rosemary.Refusal) {
+	group, found := j.carrier.config.Group(j.task.Route.Group)
 	if !found {
-		return nil, noGroup(s.route.Group)
+		return nil, noGroup(j.task.Route.Group)
 	}
-	now := time.Now()
 	return &attempt{
 		statement: statement,
 		group:     group,
-		started:   now,
-		deadline:  now.Add(s.route.Class.Deadline - answerSlack),
+		started:   time.Now(),
+		deadline:  j.task.Deadline,
 	}, nil
 }
 
 // request tells the fleet what the attempt needs. Reads that accept older
 // data may go to a replica if a floor is known.
-func (s *Session) request(a *attempt, readOnly bool) rosefleet.Request {
+func (j *job) request(a *attempt, readOnly bool) rosefleet.Request {
 	request := rosefleet.Request{
 		Primary:  true,
-		Priority: s.route.Priority,
+		Priority: j.task.Route.Priority,
 		Deadline: a.deadline,
-		Aim:      a.started.Add(s.route.Aim),
-		Owner:    s.owner,
+		Aim:      j.task.Aim,
+		Owner:    j.task.Owner,
 		Avoid:    a.avoid,
 	}
-	class := s.route.Class
-	if a.primary || !readOnly || class.MaxAge <= floorMargin || class.OwnWrites && s.uncertain {
+	class := j.task.Route.Class
+	if a.primary || !readOnly || class.MaxAge <= floorMargin || class.OwnWrites && j.task.Uncertain {
 		return request
 	}
 	floor, known := a.group.Floor(class.MaxAge - floorMargin)
@@ -70,19 +149,19 @@
 		return request
 	}
 	if class.OwnWrites {
-		floor = floor.Max(s.floor)
+		floor = floor.Max(j.task.Floor)
 	}
 	request.Primary, request.Floor = false, floor
 	return request
 }
 
 // again reports whether another try is worthwhile.
-func (s *Session) again(ctx context.Context, a *attempt) bool {
+func (j *job) again(ctx context.Context, a *attempt) bool {
 	a.tries++
 	if a.tries >= maxTries || ctx.Err() != nil || !time.Now().Before(a.deadline) {
 		return false
 	}
-	if a.tries > 1 && !s.config.Budget.Spend() {
+	if a.tries > 1 && !j.carrier.config.Budget.Spend() {
 		return false
 	}
 	if a.tries > 2 {
@@ -92,35 +171,33 @@
 }
 
 // runAlone serves a statement outside a transaction.
-func (s *Session) runAlone(ctx context.Context, statement rosemary.Statement) (rosemary.Answer, *rosemary.Refusal) {
-	s.config.Budget.Earn()
-	a, refusal := s.newAttempt(statement)
+func (j *job) runAlone(ctx context.Context, statement rosemary.Statement) (rosemary.Answer, *rosemary.Refusal) {
+	a, refusal := j.newAttempt(statement)
 	if refusal != nil {
 		return rosemary.Answer{}, refusal
 	}
 	for {
-		lease, refusal := a.group.Acquire(ctx, s.request(a, !statement.Writes))
+		lease, refusal := a.group.Acquire(ctx, j.request(a, !statement.Writes))
 		if refusal != nil {
 			return rosemary.Answer{}, refusal
 		}
-		answer, result := s.try(a, lease)
+		answer, result := j.try(a, lease)
 		switch result {
 		case tryDone:
-			s.config.Observer.Served(s.route.Class.Name, statement.Kind, lease.Primary(), time.Since(a.started))
 			return answer, nil
 		case tryUnknown:
-			s.uncertain = true
+			j.task.Uncertain = true
 			return rosemary.Answer{}, unknown(lease.Target())
 		}
-		if !s.again(ctx, a) {
-			return s.giveUp(a, answer)
+		if !j.again(ctx, a) {
+			return j.giveUp(a, answer)
 		}
 	}
 }
 
 // giveUp returns the target's own word, or a refusal. The statement has not
 // run, or it is a read.
-func (s *Session) giveUp(a *attempt, answer rosemary.Answer) (rosemary.Answer, *rosemary.Refusal) {
+func (j *job) giveUp(a *attempt, answer rosemary.Answer) (rosemary.Answer, *rosemary.Refusal) {
 	if answer.Failure != rosemary.FailureNone {
 		return answer, nil
 	}
@@ -143,18 +220,19 @@
 )
 
 // try runs the attempt's statement once.
-func (s *Session) try(a *attempt, lease *rosefleet.Lease) (rosemary.Answer, tryResult) {
+func (j *job) try(a *attempt, lease *rosefleet.Lease) (rosemary.Answer, tryResult) {
 	statement := a.statement
-	prelude, memo := s.prelude(lease, statement)
+	j.took(lease)
+	prelude, memo := j.prelude(lease, statement)
 	if !lease.Primary() {
-		statement.Floor = s.request(a, true).Floor
+		statement.Floor = j.request(a, true).Floor
 		if statement.Floor.IsZero() {
 			lease.Release(true)
 			a.primary = true
 			return rosemary.Answer{}, tryAgain
 		}
 	}
-	answers, sent, err := lease.Exchange(s.tryDeadline(a), append(prelude, statement)...)
+	answers, sent, err := lease.Exchange(j.tryDeadline(a), append(prelude, statement)...)
 	if err != nil {
 		lease.Release(false)
 		a.avoid = lease.Target()
@@ -173,14 +251,14 @@
 	}
 	lease.SetMemo(memo)
 	answer := answers[len(prelude)]
-	result := s.judge(a, lease, answer)
+	result := j.judge(a, lease, answer)
 	lease.Release(answer.Block == rosemary.BlockIdle)
 	return answer, result
 }
 
 // tryDeadline is when a try is given up: early, for a read that may still go
 // elsewhere.
-func (s *Session) tryDeadline(a *attempt) time.Time {
+func (j *job) tryDeadline(a *attempt) time.Time {
 	if a.statement.Writes || a.tries > 0 {
 		return a.deadline
 	}
@@ -192,7 +270,7 @@
 }
 
 // judge decides what an answer is worth.
-func (s *Session) judge(a *attempt, lease *rosefleet.Lease, answer rosemary.Answer) tryResult {
+func (j *job) judge(a *attempt, lease *rosefleet.Lease, answer rosemary.Answer) tryResult {
 	writes := a.statement.Writes
 	switch answer.Failure {
 	case rosemary.FailureNone:
@@ -203,7 +281,7 @@
 			return tryAgain
 		}
 		if writes {
-			s.floor = s.floor.Max(answer.Position)
+			j.task.Floor = j.task.Floor.Max(answer.Position)
 		}
 		return tryDone
 	case rosemary.FailureBehind:
@@ -214,7 +292,7 @@
 		a.avoid = lease.Target()
 		return tryAgain
 	case rosemary.FailureUnprepared:
-		lease.SetMemo(&memo{values: s.values, prepared: make(map[string]bool)})
+		lease.SetMemo(&memo{values: j.task.Values, prepared: make(map[string]bool)})
 		return tryAgain
 	case rosemary.FailureFailed, rosemary.FailureTimeout:
 		if writes {
--- a/pkg/rosecaller/session.go
+++ b/pkg/rosecaller/session.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
-	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -19,8 +17,6 @@
 type Directory interface {
 	// Route returns the route of a database.
 	Route(database string) (rosemary.Route, bool)
-	// Group returns the targets of a group.
-	Group(name string) (*rosefleet.Group, bool)
 	// TransactionIdle is how long a transaction may rest.
 	TransactionIdle() time.Duration
 }
@@ -29,50 +25,41 @@
 type Config struct {
 	Directory Directory
 	Database  string
-	Budget    *roseadmit.Budget
+	Executor  Executor
 	Observer  Observer
-	// OnClose is called when the session ends; nil for nothing.
-	OnClose func()
 }
 
 // Observer is told of what became of requests. It must not block.
 type Observer interface {
-	// Served is told of an answer and the time that it took.
-	Served(class string, kind rosemary.StatementKind, primary bool, took time.Duration)
-	// Refused is told of a refusal.
+	// Served is told of an answer of a target and the time that it took.
+	Served(task Task, result Result, took time.Duration)
+	// Refused is told of a refusal, and of the last target that was asked.
 	Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID)
 }
 
 // owners numbers the sessions of the process.
 var owners atomic.Uint64
 
-// prepared is a statement that the caller prepared.
-type prepared struct {
-	shared string
-	writes bool
-	shape  string
-}
-
-// values are the session's settings. A version is immutable.
-type values map[string]string
-
 // Session is one caller's session. It serves one statement at a time.
 type Session struct {
-	config   Config
-	owner    uint64
-	values   values
-	prepared map[string]prepared
+	config Config
+	owner  uint64
+	values map[string]string
+	// prepared holds, by the caller's names, the preparations that all
+	// sessions share.
+	prepared map[string]rosemary.Statement
 	// floor is the position of the session's last acknowledged write.
 	floor rosemary.Position
-	// uncertain is set once the outcome of a write is unknown: its position
-	// is not known either, so reads go to the primary.
+	// uncertain is set once the outcome of a write is unknown.
 	uncertain bool
 
-	block rosemary.Block
-	begin rosemary.Statement
-	route rosemary.Route
-	lease *rosefleet.Lease
-	wrote bool
+	block    rosemary.Block
+	readOnly bool
+	route    rosemary.Route
+	// transaction is nil until a target runs its first statement.
+	transaction Transaction
+	// asked is the last target that was asked.
+	asked rosemary.TargetID
 	// expired is set once the transaction was ended while its caller rested,
 	// until the caller has been told.
 	expired bool
@@ -80,7 +67,7 @@
 
 // New returns a session on a database.
 func New(config Config) *Session {
-	return &Session{config: config, owner: owners.Add(1), prepared: make(map[string]prepared)}
+	return &Session{config: config, owner: owners.Add(1), prepared: make(map[string]rosemary.Statement)}
 }
 
 // Block returns the state of the session's transaction.
@@ -105,22 +92,16 @@
 func (s *Session) Close() {
 	s.rollback()
 	s.block = rosemary.BlockIdle
-	if s.config.OnClose != nil {
-		s.config.OnClose()
-	}
 }
 
 // Do runs one statement. The answer's block is that of the session after it.
 // With a refusal there is no answer.
 func (s *Session) Do(ctx context.Context, statement rosemary.Statement) (rosemary.Answer, *rosemary.Refusal) {
+	s.asked = ""
 	answer, refusal := s.do(ctx, statement)
 	answer.Block = s.block
 	if refusal != nil {
-		target := rosemary.TargetID("")
-		if s.lease != nil {
-			target = s.lease.Target()
-		}
-		s.config.Observer.Refused(s.config.Database, statement.ID, refusal, target)
+		s.config.Observer.Refused(s.config.Database, statement.ID, refusal, s.asked)
 	}
 	return answer, refusal
 }
@@ -137,7 +118,7 @@
 	case rosemary.StatementSet:
 		changed := maps.Clone(s.values)
 		if changed == nil {
-			changed = make(values)
+			changed = make(map[string]string)
 		}
 		changed[statement.Name] = statement.Payload
 		s.values = changed
@@ -171,7 +152,7 @@
 	if !found {
 		return rosemary.Answer{}, unknownDatabase(s.config.Database)
 	}
-	s.block, s.begin, s.route, s.wrote, s.expired = rosemary.BlockOpen, statement, route, false, false
+	s.block, s.readOnly, s.route, s.expired = rosemary.BlockOpen, statement.ReadOnly, route, false
 	return local(), nil
 }
 
@@ -180,22 +161,48 @@
 	if statement.Kind == rosemary.StatementCommit && s.block != rosemary.BlockOpen {
 		return s.commitWithoutBlock()
 	}
+	task := Task{Owner: s.owner, Values: s.values, Floor: s.floor, Uncertain: s.uncertain}
 	if statement.Kind == rosemary.StatementExecute {
 		p, known := s.prepared[statement.Name]
 		if !known {
 			return rosemary.Answer{}, unknownName(statement.Name)
 		}
-		statement.Name, statement.Writes = p.shared, p.writes
+		statement.Name, statement.Writes = p.Name, p.Writes
+		task.Prepared = p
 	}
-	if s.block == rosemary.BlockOpen {
-		return s.runInBlock(ctx, statement)
+	if s.block == rosemary.BlockIdle {
+		route, found := s.config.Directory.Route(s.config.Database)
+		if !found {
+			return rosemary.Answer{}, unknownDatabase(s.config.Database)
+		}
+		s.route, s.readOnly = route, false
 	}
-	route, found := s.config.Directory.Route(s.config.Database)
-	if !found {
-		return rosemary.Answer{}, unknownDatabase(s.config.Database)
+	started := time.Now()
+	task.Statement, task.Route, task.ReadOnly = statement, s.route, s.readOnly
+	task.Deadline, task.Aim = started.Add(s.route.Class.Deadline-answerSlack), started.Add(s.route.Aim)
+	result := s.execute(ctx, task)
+	if result.Refusal == nil && result.Answer.Failure == rosemary.FailureNone {
+		s.config.Observer.Served(task, result, time.Since(started))
 	}
-	s.route = route
-	return s.runAlone(ctx, statement)
+	return result.Answer, result.Refusal
+}
+
+// execute has a target run a task, and takes in what became of it.
+func (s *Session) execute(ctx context.Context, task Task) Result {
+	var result Result
+	switch {
+	case s.block == rosemary.BlockIdle:
+		result = s.config.Executor.Run(ctx, task)
+	case s.transaction == nil:
+		s.transaction, result = s.config.Executor.Begin(ctx, task)
+	default:
+		result = s.transaction.Next(ctx, task)
+	}
+	if !result.Open {
+		s.transaction = nil
+	}
+	s.block, s.floor, s.uncertain, s.asked = result.Answer.Block, result.Floor, result.Uncertain, result.Target
+	return result
 }
 
 // commitWithoutBlock answers a commit outside an open transaction. One that
@@ -209,17 +216,12 @@
 	return rosemary.Answer{}, protocolError("no transaction is open", "begin one first")
 }
 
-// rollbackTimeout bounds the rollback of a transaction on a target.
-const rollbackTimeout = 500 * time.Millisecond
-
-// rollback ends what is open on a target and gives the link back.
+// rollback ends what is open on a target.
 func (s *Session) rollback() {
-	if s.lease == nil {
-		return
+	if s.transaction != nil {
+		s.transaction.Rollback()
+		s.transaction = nil
 	}
-	answers, _, err := s.lease.Exchange(time.Now().Add(rollbackTimeout), rosemary.Statement{Kind: rosemary.StatementRollback})
-	s.lease.Release(err == nil && answers[0].Block == rosemary.BlockIdle)
-	s.lease = nil
 }
 
 func local() rosemary.Answer { return rosemary.Answer{Digest: localDigest} }
--- a/pkg/rosemary/interfaces.go
+++ b/pkg/rosemary/interfaces.go
@@ -53,8 +53,6 @@
 	Zone    Zone
 	Address string
 	Leaving bool
-	// Forward is where the proxy serves sessions that others pass on.
-	Forward string
 	// Weight is its capacity in comparison with others.
 	Weight int
 }
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -312,14 +312,6 @@
 	return m.node.Live()
 }
 
-// Gone reports whether a member is dead or unknown; one that is leaving still
-// finishes what it has begun.
-func (m *Mesh) Gone(id rosemary.ProxyID) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node.Gone(id)
-}
-
 // View lists what is known of every other member.
 func (m *Mesh) View() []MemberView {
 	m.mu.Lock()
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -166,12 +166,6 @@
 	return p.member, true
 }
 
-// Gone reports whether a member is dead or unknown.
-func (n *Node) Gone(id rosemary.ProxyID) bool {
-	p := n.peers[id]
-	return p == nil || p.state == StateDead
-}
-
 // MemberView is a member as operators see it.
 type MemberView struct {
 	rosemary.Member
--- a/pkg/rosepeer/rank.go
+++ b/pkg/rosepeer/rank.go
@@ -58,19 +58,3 @@
 	}
 	return rank
 }
-
-// Homes returns the proxies that serve a database: the first of each of its
-// zones, and then the first of all, up to size.
-func Homes(database string, zones []rosemary.Zone, members []rosemary.Member, size int) []rosemary.Member {
-	ranked := Ranked("home/"+database, members)
-	var homes []rosemary.Member
-	for _, z := range zones {
-		at := slices.IndexFunc(ranked, func(m rosemary.Member) bool { return m.Zone == z })
-		if at >= 0 {
-			homes = append(homes, ranked[at])
-			ranked = slices.Delete(ranked, at, at+1)
-		}
-	}
-	missing := max(size-len(homes), 0)
-	return append(homes, ranked[:min(missing, len(ranked))]...)
-}
--- /dev/null
+++ b/pkg/roserelay/codec.go
@@ -0,0 +1,189 @@
+// Package roserelay has one proxy run the tasks of another's sessions: a
+// group's homes hold the links to its targets, and the other proxies pass
+// statements on to them. The session itself stays where its caller is.
+package roserelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
+)
+
+const (
+	// beatInterval separates signs of life while something is under way.
+	beatInterval = 400 * time.Millisecond
+	// silenceLimit ends a link on which something is under way and nothing
+	// comes: three beats.
+	silenceLimit = 1200 * time.Millisecond
+	// sendTimeout bounds the sending of one message.
+	sendTimeout = 2 * time.Second
+	// maxMessageBytes bounds one message; a caller's is at most half as long.
+	maxMessageBytes = 2 << 20
+)
+
+// What an order asks of a home.
+const (
+	doRun      = "Run"
+	doBegin    = "Begin"
+	doNext     = "Next"
+	doRollback = "Rollback"
+	doBeat     = "Beat"
+)
+
+// optional returns nil for a zero value, which isn't sent.
+func optional[T comparable](value T) *T {
+	var zero T
+	if value == zero {
+		return nil
+	}
+	return &value
+}
+
+func orZero[T any](value *T) T {
+	var zero T
+	if value == nil {
+		return zero
+	}
+	return *value
+}
+
+func encodeStatement(s rosemary.Statement) rosewire.Statement {
+	return rosewire.Statement{
+		ID: optional(s.ID), Kind: uint64(s.Kind), Writes: optional(s.Writes),
+		Name: optional(s.Name), Payload: optional(s.Payload),
+	}
+}
+
+func decodeStatement(s *rosewire.Statement) rosemary.Statement {
+	if s == nil {
+		return rosemary.Statement{}
+	}
+	return rosemary.Statement{
+		ID: orZero(s.ID), Kind: rosemary.StatementKind(s.Kind), Writes: orZero(s.Writes),
+		Name: orZero(s.Name), Payload: orZero(s.Payload),
+	}
+}
+
+// encodeTask leaves times as what is left of them: proxies' clocks differ.
+func encodeTask(t rosecaller.Task) *rosewire.Task {
+	task := &rosewire.Task{
+		Group:       t.Route.Group,
+		Class:       t.Route.Class.Name,
+		MaxAgeMs:    optional(uint64(t.Route.Class.MaxAge.Milliseconds())),
+		OwnWrites:   optional(t.Route.Class.OwnWrites),
+		Priority:    optional(uint64(t.Route.Priority)),
+		DeadlineMs:  time.Until(t.Deadline).Milliseconds(),
+		AimMs:       time.Until(t.Aim).Milliseconds(),
+		Owner:       t.Owner,
+		FloorTerm:   optional(t.Floor.LogTerm),
+		FloorOffset: optional(t.Floor.Offset),
+		Uncertain:   optional(t.Uncertain),
+		ReadOnly:    optional(t.ReadOnly),
+		Statement:   encodeStatement(t.Statement),
+	}
+	if t.Prepared.Kind != 0 {
+		prepared := encodeStatement(t.Prepared)
+		task.Prepared = &prepared
+	}
+	for name, text := range t.Values {
+		task.Values = append(task.Values, rosewire.Value{Name: name, Text: text})
+	}
+	return task
+}
+
+func decodeTask(t *rosewire.Task, receivedAt time.Time) rosecaller.Task {
+	task := rosecaller.Task{
+		Owner:     t.Owner,
+		Statement: decodeStatement(&t.Statement),
+		ReadOnly:  orZero(t.ReadOnly),
+		Prepared:  decodeStatement(t.Prepared),
+		Floor:     rosemary.Position{LogTerm: orZero(t.FloorTerm), Offset: orZero(t.FloorOffset)},
+		Uncertain: orZero(t.Uncertain),
+		Deadline:  receivedAt.Add(time.Duration(t.DeadlineMs) * time.Millisecond),
+		Aim:       receivedAt.Add(time.Duration(t.AimMs) * time.Millisecond),
+	}
+	task.Route.Group = t.Group
+	task.Route.Priority = int(orZero(t.Priority))
+	task.Route.Class = rosemary.Class{
+		Name: t.Class, MaxAge: time.Duration(orZero(t.MaxAgeMs)) * time.Millisecond, OwnWrites: orZero(t.OwnWrites),
+	}
+	if len(t.Values) > 0 {
+		task.Values = make(map[string]string, len(t.Values))
+	}
+	for _, v := range t.Values {
+		task.Values[v.Name] = v.Text
+	}
+	return task
+}
+
+func encodeResult(number uint64, r rosecaller.Result) *rosewire.Result {
+	result := &rosewire.Result{
+		Number:      number,
+		Rows:        r.Answer.Rows,
+		Digest:      optional(r.Answer.Digest),
+		Failure:     optional(uint64(r.Answer.Failure)),
+		Code:        optional(r.Answer.Code),
+		Message:     optional(r.Answer.Message),
+		Block:       optional(uint64(r.Answer.Block)),
+		FloorTerm:   optional(r.Floor.LogTerm),
+		FloorOffset: optional(r.Floor.Offset),
+		Uncertain:   optional(r.Uncertain),
+		Target:      optional(string(r.Target)),
+		Primary:     optional(r.Primary),
+		Open:        optional(r.Open),
+	}
+	if r.Refusal != nil {
+		result.Refusal = &rosewire.Refusal{
+			Kind: string(r.Refusal.Kind), Outcome: string(r.Refusal.Outcome), Message: r.Refusal.Message,
+			Remedy: r.Refusal.Remedy, RetryAfterMs: optional(uint64(r.Refusal.RetryAfter.Milliseconds())),
+		}
+	}
+	return result
+}
+
+func decodeResult(r *rosewire.Result) rosecaller.Result {
+	result := rosecaller.Result{
+		Answer: rosemary.Answer{
+			Rows: r.Rows, Digest: orZero(r.Digest), Failure: rosemary.Failure(orZero(r.Failure)),
+			Code: orZero(r.Code), Message: orZero(r.Message), Block: rosemary.Block(orZero(r.Block)),
+		},
+		Floor:     rosemary.Position{LogTerm: orZero(r.FloorTerm), Offset: orZero(r.FloorOffset)},
+		Uncertain: orZero(r.Uncertain),
+		Target:    rosemary.TargetID(orZero(r.Target)),
+		Primary:   orZero(r.Primary),
+		Open:      orZero(r.Open),
+	}
+	if r.Refusal != nil {
+		result.Refusal = &rosemary.Refusal{
+			Kind: rosemary.Kind(r.Refusal.Kind), Outcome: rosemary.Outcome(r.Refusal.Outcome), Message: r.Refusal.Message,
+			Remedy: r.Refusal.Remedy, RetryAfter: time.Duration(orZero(r.Refusal.RetryAfterMs)) * time.Millisecond,
+		}
+	}
+	return result
+}
+
+func send(ctx context.Context, conn *websocket.Conn, message rosewire.Message) error {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	return trace.Wrap(conn.Write(ctx, websocket.MessageBinary, body))
+}
+
+func receive(ctx context.Context, conn *websocket.Conn) (rosewire.Message, error) {
+	var message rosewire.Message
+	_, body, err := conn.Read(ctx)
+	if err != nil {
+		return message, trace.Wrap(err)
+	}
+	return message, trace.Wrap(cbor.Unmarshal(body, &message))
+}
--- /dev/null
+++ b/pkg/roserelay/relay_test.go
@@ -0,0 +1,214 @@
+package roserelay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/roserelay"
+)
+
+// executor is a home's, with transactions that it counts.
+type executor struct {
+	work time.Duration
+
+	mu       sync.Mutex
+	seen     []rosecaller.Task
+	open     int
+	finished int
+}
+
+func (e *executor) note(task rosecaller.Task) rosecaller.Result {
+	time.Sleep(e.work)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, task)
+	return rosecaller.Result{
+		Answer: rosemary.Answer{Rows: []string{"row"}, Digest: "digest"}, Floor: rosemary.Position{LogTerm: 2, Offset: 7},
+		Target: "t-1", Primary: true,
+	}
+}
+
+// Run answers with a row.
+func (e *executor) Run(_ context.Context, task rosecaller.Task) rosecaller.Result {
+	return e.note(task)
+}
+
+// Begin opens a transaction.
+func (e *executor) Begin(_ context.Context, task rosecaller.Task) (rosecaller.Transaction, rosecaller.Result) {
+	result := e.note(task)
+	e.mu.Lock()
+	e.open++
+	e.mu.Unlock()
+	result.Open, result.Answer.Block = true, rosemary.BlockOpen
+	return &transaction{executor: e}, result
+}
+
+func (e *executor) opened() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open
+}
+
+type transaction struct {
+	executor *executor
+	over     bool
+}
+
+// Next goes on until a commit.
+func (t *transaction) Next(_ context.Context, task rosecaller.Task) rosecaller.Result {
+	result := t.executor.note(task)
+	if task.Statement.Kind != rosemary.StatementCommit {
+		result.Open, result.Answer.Block = true, rosemary.BlockOpen
+		return result
+	}
+	t.Rollback()
+	return result
+}
+
+// Rollback counts once.
+func (t *transaction) Rollback() {
+	t.executor.mu.Lock()
+	defer t.executor.mu.Unlock()
+	if !t.over {
+		t.over = true
+		t.executor.open--
+		t.executor.finished++
+	}
+}
+
+// between runs a test with a client and a home on a paused clock.
+func between(t *testing.T, work time.Duration, run func(c *qt.C, e *executor, network *rosenet.Network, server *roserelay.Server, client *roserelay.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := rosenet.NewNetwork(rosenet.Config{InMemory: true, Delay: func(_, _ rosenet.Place) time.Duration { return time.Millisecond }})
+		defer network.Close()
+		e := &executor{work: work}
+		server := roserelay.NewServer(roserelay.ServerConfig{Executor: e})
+		listener, err := network.Listen(rosenet.Place{Name: "home", Zone: "b"}, "home:1")
+		c.Assert(err, qt.IsNil)
+		mux := http.NewServeMux()
+		mux.Handle("GET "+roserelay.Path, server)
+		httpServer := &http.Server{Handler: mux}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if err := httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+				c.Error(err)
+			}
+		}()
+		client := roserelay.NewClient(roserelay.ClientConfig{Dialer: network.Dialer(rosenet.Place{Name: "visitor", Zone: "a"})})
+		run(c, e, network, server, client)
+		client.Close()
+		server.Close()
+		listener.Close()
+		_ = httpServer.Close()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
+
+var home = rosemary.Member{Proxy: "home", Address: "home:1", Zone: "b"}
+
+func task(kind rosemary.StatementKind, id string) rosecaller.Task {
+	now := time.Now()
+	return rosecaller.Task{
+		Route: rosemary.Route{Group: "g", Priority: 2, Class: rosemary.Class{Name: "own", MaxAge: 2500 * time.Millisecond, OwnWrites: true}},
+		Owner: 9, Values: map[string]string{"tenant": "red"}, Floor: rosemary.Position{LogTerm: 2, Offset: 5},
+		Prepared:  rosemary.Statement{Kind: rosemary.StatementPrepare, Name: "p1", Writes: true, Payload: "q2"},
+		Statement: rosemary.Statement{ID: id, Kind: kind, Writes: kind == rosemary.StatementWrite, Payload: "WRITE 1 one"},
+		Deadline:  now.Add(1500 * time.Millisecond), Aim: now.Add(250 * time.Millisecond),
+	}
+}
+
+func TestTaskComesWhole(t *testing.T) {
+	between(t, 0, func(c *qt.C, e *executor, _ *rosenet.Network, _ *roserelay.Server, client *roserelay.Client) {
+		sent := task(rosemary.StatementWrite, "w1")
+		result, delivery := client.Run(context.Background(), home, sent)
+		c.Assert(delivery, qt.Equals, roserelay.Answered)
+		c.Check(result, qt.DeepEquals, e.note(rosecaller.Task{}))
+		got := e.seen[0]
+		c.Check(got.Route, qt.DeepEquals, sent.Route)
+		c.Check(got.Values, qt.DeepEquals, sent.Values)
+		c.Check(got.Prepared, qt.DeepEquals, sent.Prepared)
+		c.Check(got.Statement, qt.DeepEquals, sent.Statement)
+		c.Check(got.Floor, qt.Equals, sent.Floor)
+		c.Check(got.Owner&0xffff, qt.Equals, sent.Owner)
+		// Time on the way is lost, never won.
+		c.Check(got.Deadline.After(sent.Deadline.Add(10*time.Millisecond)), qt.IsFalse)
+	})
+}
+
+func TestHomeOutOfReachIsNotSent(t *testing.T) {
+	between(t, 0, func(c *qt.C, e *executor, network *rosenet.Network, _ *roserelay.Server, client *roserelay.Client) {
+		network.SetBlocked(func(_, _ rosenet.Place) bool { return true })
+		_, delivery := client.Run(context.Background(), home, task(rosemary.StatementWrite, "w1"))
+		c.Check(delivery, qt.Equals, roserelay.NotSent)
+		network.SetBlocked(nil)
+		time.Sleep(time.Second)
+		_, delivery = client.Run(context.Background(), home, task(rosemary.StatementWrite, "w2"))
+		c.Check(delivery, qt.Equals, roserelay.Answered)
+		c.Check(e.seen, qt.HasLen, 1)
+	})
+}
+
+// A link that goes silent costs a second or so, not the whole deadline.
+func TestSilentLinkIsGivenUp(t *testing.T) {
+	between(t, 10*time.Millisecond, func(c *qt.C, e *executor, network *rosenet.Network, _ *roserelay.Server, client *roserelay.Client) {
+		open, result, delivery := client.Begin(context.Background(), home, task(rosemary.StatementWrite, "b1"))
+		c.Assert(delivery, qt.Equals, roserelay.Answered)
+		c.Assert(result.Answer.Block, qt.Equals, rosemary.BlockOpen)
+		network.SetBlocked(func(_, _ rosenet.Place) bool { return true })
+		next := task(rosemary.StatementCommit, "b2")
+		next.Deadline = time.Now().Add(10 * time.Second)
+		asked := time.Now()
+		result = open.Next(context.Background(), next)
+		c.Check(time.Since(asked) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(asked)))
+		c.Check(result.Refusal.Outcome, qt.Equals, rosemary.OutcomeUnknown)
+		// The home can't be told, and rolls back by itself.
+		time.Sleep(4 * time.Second)
+		c.Check(e.opened(), qt.Equals, 0)
+	})
+}
+
+// A begin that was given up is rolled back when it ends after all.
+func TestForgottenBeginIsRolledBack(t *testing.T) {
+	between(t, time.Second, func(c *qt.C, e *executor, _ *rosenet.Network, _ *roserelay.Server, client *roserelay.Client) {
+		late := task(rosemary.StatementWrite, "b1")
+		late.Deadline = time.Now().Add(100 * time.Millisecond)
+		_, _, delivery := client.Begin(context.Background(), home, late)
+		c.Check(delivery, qt.Equals, roserelay.Unanswered)
+		time.Sleep(2 * time.Second)
+		c.Check(e.opened(), qt.Equals, 0)
+		c.Check(e.finished, qt.Equals, 1)
+	})
+}
+
+func TestDrainEndsWhatIsOpen(t *testing.T) {
+	between(t, 10*time.Millisecond, func(c *qt.C, e *executor, _ *rosenet.Network, server *roserelay.Server, client *roserelay.Client) {
+		open, _, _ := client.Begin(context.Background(), home, task(rosemary.StatementWrite, "b1"))
+		server.SetDrain(rosecaller.Drain{Idle: time.Now().Add(time.Second), Blocks: time.Now().Add(2 * time.Second)})
+		result, _ := client.Run(context.Background(), home, task(rosemary.StatementWrite, "w1"))
+		c.Check(result.Refusal.Kind, qt.Equals, rosemary.KindDraining)
+		c.Check(result.Refusal.Outcome, qt.Equals, rosemary.OutcomeNotRun)
+		c.Check(open.Next(context.Background(), task(rosemary.StatementWrite, "b2")).Open, qt.IsTrue)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		started := time.Now()
+		server.Wait(ctx)
+		c.Check(time.Since(started) > time.Second && time.Since(started) < 3*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+		c.Check(e.opened(), qt.Equals, 0)
+		c.Check(open.Next(context.Background(), task(rosemary.StatementCommit, "b3")).Refusal.Kind, qt.Equals, rosemary.KindAborted)
+	})
+}
--- a/pkg/rosesupervisor/duty.go
+++ b/pkg/rosesupervisor/duty.go
@@ -124,7 +124,6 @@
 type memberRecord struct {
 	Zone    rosemary.Zone
 	Address string
-	Forward string
 	Weight  int
 }
 
@@ -303,7 +302,7 @@
 		return false
 	}
 	value, err := json.Marshal(memberRecord{
-		Zone: d.config.Self.Zone, Address: d.config.Self.Address, Forward: d.config.Self.Forward, Weight: d.config.Self.Weight,
+		Zone: d.config.Self.Zone, Address: d.config.Self.Address, Weight: d.config.Self.Weight,
 	})
 	if err != nil {
 		return false
@@ -338,7 +337,7 @@
 			continue
 		}
 		members = append(members, rosemary.Member{
-			Proxy: rosemary.ProxyID(name), Zone: record.Zone, Address: record.Address, Forward: record.Forward, Weight: record.Weight,
+			Proxy: rosemary.ProxyID(name), Zone: record.Zone, Address: record.Address, Weight: record.Weight,
 		})
 	}
 	d.mu.Lock()
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -164,6 +164,9 @@
 	// News corresponds to the JSON schema field "News".
 	News *News `cbor:"News,omitempty"`
 
+	// Order corresponds to the JSON schema field "Order".
+	Order *Order `cbor:"Order,omitempty"`
+
 	// Pull corresponds to the JSON schema field "Pull".
 	Pull *Pull `cbor:"Pull,omitempty"`
 
@@ -172,6 +175,9 @@
 
 	// Reply corresponds to the JSON schema field "Reply".
 	Reply *Reply `cbor:"Reply,omitempty"`
+
+	// Result corresponds to the JSON schema field "Result".
+	Result *Result `cbor:"Result,omitempty"`
 }
 
 // News is passed on by each proxy to which it is new.
@@ -186,6 +192,22 @@
 	Members []Member `cbor:"Members,omitempty"`
 }
 
+// Order has a group's home run a statement for the sender.
+type Order struct {
+	// Do is what the home does: Run, Begin, Next, Rollback, or Beat for a sign of
+	// life.
+	Do string `cbor:"Do"`
+
+	// Number tells the sender's orders apart.
+	Number uint64 `cbor:"Number"`
+
+	// Task corresponds to the JSON schema field "Task".
+	Task *Task `cbor:"Task,omitempty"`
+
+	// Transaction is the number of the Begin that opened it; zero outside one.
+	Transaction *uint64 `cbor:"Transaction,omitempty"`
+}
+
 // Pull asks for a part of the bundle by its digest, or for the manifest in force.
 type Pull struct {
 	// Digest names a section; empty asks for the manifest.
@@ -210,6 +232,24 @@
 	Term uint64 `cbor:"Term"`
 }
 
+// Refusal is why a statement got no answer of a target.
+type Refusal struct {
+	// Kind is that of rosemary.Refusal.
+	Kind string `cbor:"Kind"`
+
+	// Message says what happened.
+	Message string `cbor:"Message"`
+
+	// Outcome tells whether the statement ran.
+	Outcome string `cbor:"Outcome"`
+
+	// Remedy says what to do.
+	Remedy string `cbor:"Remedy"`
+
+	// RetryAfterMs is when a retry is worthwhile.
+	RetryAfterMs *uint64 `cbor:"RetryAfterMs,omitempty"`
+}
+
 // Reply answers a Question.
 type Reply struct {
 	// Facts answer a Question about Facts.
@@ -224,3 +264,123 @@
 	// Yes is the peer's word.
 	Yes bool `cbor:"Yes"`
 }
+
+// Result answers an Order.
+type Result struct {
+	// Block is the state of the session after it.
+	Block *uint64 `cbor:"Block,omitempty"`
+
+	// Code is the target's own word for a failure.
+	Code *string `cbor:"Code,omitempty"`
+
+	// Digest is the target's; empty for a failure.
+	Digest *string `cbor:"Digest,omitempty"`
+
+	// Failure is that of rosemary.Failure.
+	Failure *uint64 `cbor:"Failure,omitempty"`
+
+	// FloorOffset is that of the session's last acknowledged write.
+	FloorOffset *uint64 `cbor:"FloorOffset,omitempty"`
+
+	// FloorTerm is that of the session's last acknowledged write.
+	FloorTerm *uint64 `cbor:"FloorTerm,omitempty"`
+
+	// Message is the target's own.
+	Message *string `cbor:"Message,omitempty"`
+
+	// Number is that of the Order.
+	Number uint64 `cbor:"Number"`
+
+	// Open is set while the transaction stays on its target.
+	Open *bool `cbor:"Open,omitempty"`
+
+	// Primary is set if that led its group.
+	Primary *bool `cbor:"Primary,omitempty"`
+
+	// Refusal corresponds to the JSON schema field "Refusal".
+	Refusal *Refusal `cbor:"Refusal,omitempty"`
+
+	// Rows are the target's.
+	Rows []string `cbor:"Rows,omitempty"`
+
+	// Target is the one that ran the statement.
+	Target *string `cbor:"Target,omitempty"`
+
+	// Uncertain is set when the outcome of a write is unknown.
+	Uncertain *bool `cbor:"Uncertain,omitempty"`
+}
+
+// Statement is one request of a session.
+type Statement struct {
+	// ID is the caller's.
+	ID *string `cbor:"ID,omitempty"`
+
+	// Kind is that of rosemary.StatementKind.
+	Kind uint64 `cbor:"Kind"`
+
+	// Name is that of a prepared statement.
+	Name *string `cbor:"Name,omitempty"`
+
+	// Payload is passed on unchanged.
+	Payload *string `cbor:"Payload,omitempty"`
+
+	// Writes is set for a write.
+	Writes *bool `cbor:"Writes,omitempty"`
+}
+
+// Task is a statement with what its session decides about it.
+type Task struct {
+	// AimMs is the time left until the answer should be there.
+	AimMs int64 `cbor:"AimMs"`
+
+	// Class names the route's class.
+	Class string `cbor:"Class"`
+
+	// DeadlineMs is the time left until an answer is of no more use.
+	DeadlineMs int64 `cbor:"DeadlineMs"`
+
+	// FloorOffset is that of the session's last acknowledged write.
+	FloorOffset *uint64 `cbor:"FloorOffset,omitempty"`
+
+	// FloorTerm is that of the session's last acknowledged write.
+	FloorTerm *uint64 `cbor:"FloorTerm,omitempty"`
+
+	// Group is the one whose targets run it.
+	Group string `cbor:"Group"`
+
+	// MaxAgeMs is the greatest age of data that a read accepts.
+	MaxAgeMs *uint64 `cbor:"MaxAgeMs,omitempty"`
+
+	// OwnWrites is set where reads see the session's own writes.
+	OwnWrites *bool `cbor:"OwnWrites,omitempty"`
+
+	// Owner tells the sender's sessions apart.
+	Owner uint64 `cbor:"Owner"`
+
+	// Prepared corresponds to the JSON schema field "Prepared".
+	Prepared *Statement `cbor:"Prepared,omitempty"`
+
+	// Priority orders waiting statements; zero goes first.
+	Priority *uint64 `cbor:"Priority,omitempty"`
+
+	// ReadOnly is set in a transaction that only reads.
+	ReadOnly *bool `cbor:"ReadOnly,omitempty"`
+
+	// Statement corresponds to the JSON schema field "Statement".
+	Statement Statement `cbor:"Statement"`
+
+	// Uncertain is set once the outcome of one of its writes is unknown.
+	Uncertain *bool `cbor:"Uncertain,omitempty"`
+
+	// Values are the session's.
+	Values []Value `cbor:"Values,omitempty"`
+}
+
+// Value is one of a session's settings.
+type Value struct {
+	// Name is what it is set for.
+	Name string `cbor:"Name"`
+
+	// Text is what it is set to.
+	Text string `cbor:"Text"`
+}
