--- a/internal/rosecommand/demo.go
+++ b/internal/rosecommand/demo.go
@@ -4,9 +4,11 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosestack"
 )
@@ -24,9 +26,14 @@
 	name := flags.String("deployment", "costa-rica", "costa-rica or guatemala")
 	span := flags.Duration("for", 0, "stop after this time; 0 runs until interrupted")
 	directory := flags.String("settings-dir", "", "run the stand-ins alone and write settings for rosemaryd there")
+	verbose := flags.Bool("v", false, "show the log lines of the proxies and the stand-ins")
 	if err := parse(flags, environment, args); err != nil {
 		return err
 	}
+	if !*verbose {
+		klog.LogToStderr(false)
+		klog.SetOutput(io.Discard)
+	}
 	deployment, err := rosestack.FindDeployment(*name)
 	if err != nil {
 		return usageError{err}
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -220,7 +220,7 @@
 			Kind: rosemary.KindDatabase, Outcome: rosemary.OutcomeNotRun,
 			Message: "there is no such database", Remedy: "look at the configuration in force",
 		}
-		n.Refused(database, "", refusal, "")
+		n.Refused(database, "", refusal, "", 0)
 		return nil, refusal
 	}
 	return rosecaller.New(rosecaller.Config{Directory: n, Database: database, Executor: placement{n}, Observer: n}), nil
@@ -261,19 +261,20 @@
 // Served counts and logs an answer.
 func (n *Node) Served(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
 	n.metrics.served(task.Route.Class.Name, task.Statement.Kind, result.Primary, took)
-	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "kind", task.Statement.Kind,
-		"target", result.Target, "primary", result.Primary, "us", took.Microseconds())
+	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
+		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds())
 }
 
 // Refused counts and logs a refusal.
-func (n *Node) Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID) {
+func (n *Node) Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID, took time.Duration) {
 	n.metrics.refused(refusal)
 	version := int64(0)
 	if c := n.configuration.Load(); c != nil {
 		version = c.Version
 	}
-	klog.InfoS("request refused", "request", id, "database", database, "kind", refusal.Kind, "outcome", refusal.Outcome,
-		"target", target, "configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
+	route, _ := n.Route(database)
+	klog.InfoS("request refused", "request", id, "database", database, "group", route.Group, "kind", refusal.Kind, "outcome", refusal.Outcome,
+		"target", target, "us", took.Microseconds(), "configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
 }
 
 // readyAfter is how long a proxy waits for every group's primary before it
--- a/pkg/rosecaller/session.go
+++ b/pkg/rosecaller/session.go
@@ -33,8 +33,9 @@
 type Observer interface {
 	// Served is told of an answer of a target and the time that it took.
 	Served(task Task, result Result, took time.Duration)
-	// Refused is told of a refusal, and of the last target that was asked.
-	Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID)
+	// Refused is told of a refusal, of the last target that was asked, and of
+	// the time that it took.
+	Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID, took time.Duration)
 }
 
 // owners numbers the sessions of the process.
@@ -98,10 +99,11 @@
 // With a refusal there is no answer.
 func (s *Session) Do(ctx context.Context, statement rosemary.Statement) (rosemary.Answer, *rosemary.Refusal) {
 	s.asked = ""
+	started := time.Now()
 	answer, refusal := s.do(ctx, statement)
 	answer.Block = s.block
 	if refusal != nil {
-		s.config.Observer.Refused(s.config.Database, statement.ID, refusal, s.asked)
+		s.config.Observer.Refused(s.config.Database, statement.ID, refusal, s.asked, time.Since(started))
 	}
 	return answer, refusal
 }
