supervisor: fence a silent primary's replicas after 400 ms, order only if it is silent still

Change: the silence counts from the first question without an answer; the fence follows after 400 ms, and the order only if the primary was not heard meanwhile. Complaints about a primary that answers the holder keep 700 ms.

--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -21,8 +21,13 @@
 	// refusedAfter is how long connections to a primary have to be refused
 	// before the other proxies are asked about it.
 	refusedAfter = 80 * time.Millisecond
-	// silentAfter is how long a primary has to be silent before they are.
-	silentAfter = 700 * time.Millisecond
+	// silentAfter is how long a primary has to be silent before they are. Its
+	// replicas are then fenced; the order follows only if it is still silent
+	// when permissions have ended.
+	silentAfter = 400 * time.Millisecond
+	// complainAfter is how long it has to be silent for a proxy before that
+	// complains to the holder of the duty, whom it answers.
+	complainAfter = 700 * time.Millisecond
 	// vacantAfter is how long a group has to be without a primary.
 	vacantAfter = 700 * time.Millisecond
 	// doubtAfter is how long a primary that answers may go without a
@@ -165,7 +170,7 @@
 		r.config.Voters.Suspect(ctx, r.config.Group.Name(), view.Lead.Target)
 	}
 	now := r.config.Clock.Now()
-	if view.LeadView.FailingFor < silentAfter || now.Sub(r.surveyedAt) < surveyedAfter {
+	if view.LeadView.FailingFor < complainAfter || now.Sub(r.surveyedAt) < surveyedAfter {
 		return
 	}
 	r.surveyedAt = now
@@ -183,7 +188,7 @@
 	if need != r.need {
 		r.need, r.since = need, now
 	}
-	return need, now.Sub(r.since) >= after
+	return need, now.Sub(r.since) >= after || view.LeadView.FailingFor >= after && view.LeadView.FailingFor > 0
 }
 
 // step acts on a need that is due.
@@ -337,6 +342,9 @@
 		fenced = r.catchUp(ctx, view, old, fenced)
 	} else if !r.awaitPermissions(ctx, view) {
 		return ctx.Err()
+	} else if r.answersAgain(view) {
+		r.unfence(ctx, view, fenced)
+		return trace.CompareFailed("the primary %s answers again", view.Lead.Target)
 	} else if err := r.checkFences(ctx, fenced); err != nil {
 		return err
 	}
@@ -362,6 +370,14 @@
 	return roseclock.Sleep(ctx, time.Until(fencedAt.Add(rosegroup.PermissionTime+fenceMargin)))
 }
 
+// answersAgain reports whether a primary that was silent has been heard since,
+// and may be relied on again.
+func (r *Replacer) answersAgain(view rosefleet.View) bool {
+	now := r.config.Group.View()
+	return view.LeadKnown && view.LeadView.FailingFor > 0 && !view.LeadView.Refused &&
+		now.LeadKnown && now.Lead.Target == view.Lead.Target && now.LeadView.FailingFor == 0
+}
+
 // allStopped has every proxy stop relying on the primary of term, and reports
 // whether all that are registered or linked have.
 func (r *Replacer) allStopped(ctx context.Context, term uint64) bool {
