node: take no more links than slots until the other proxies are known

Ruled out: slow starts (40 ms to the first certain primary). Change: for 3 s after its start a proxy takes at most as many links as a target has slots, and looks for the other proxies every 300 ms; a new member changes the shares at once.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -195,8 +195,13 @@
 				own = append(own, l)
 			}
 		}
-		free := freeConnections(rule, slotsOf(name, n.listings))
+		slots := slotsOf(name, n.listings)
+		free := freeConnections(rule, slots)
 		all := homes(name, free, members)
+		links := linksOf(free, n.config.Self, all)
+		if time.Since(n.started) < settleTime {
+			links = modest(links, slots)
+		}
 		g.home = isHome(n.config.Self.Proxy, all)
 		if !g.home && g.visited() && !fresh {
 			continue
@@ -205,7 +210,7 @@
 			own = nil
 		}
 		if n.listed {
-			g.Update(own, linksOf(free, n.config.Self, all))
+			g.Update(own, links)
 		}
 	}
 	for name, g := range n.groups {
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -60,6 +61,17 @@
 	return rosefleet.Links{Share: share, Most: share}
 }
 
+// settleTime is how long after its start a proxy takes no more links than it
+// can keep busy: others may be starting too that it doesn't know of yet, and
+// targets hold the connections of machines that lost power for as long.
+const settleTime = 3 * time.Second
+
+// modest bounds links by the slots of a target.
+func modest(links rosefleet.Links, slots int) rosefleet.Links {
+	most := max(slots, leastLinks)
+	return rosefleet.Links{Share: min(links.Share, most), Most: min(links.Most, most)}
+}
+
 // isHome reports whether a proxy is among homes. Nobody is registered before
 // the store was read, and then everybody serves for himself.
 func isHome(self rosemary.ProxyID, homes []rosemary.Member) bool {
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -140,9 +140,15 @@
 // followPeers tells the mesh of the registered proxies, and keeps watch on
 // whether this proxy is known to any of them.
 func (n *Node) followPeers(ctx context.Context) {
-	for roseclock.Sleep(ctx, learnInterval) {
+	known := 0
+	for roseclock.Sleep(ctx, n.learnPause()) {
 		members := n.duty.Members()
 		n.mesh.Learn(members)
+		if len(members) != known {
+			// Others' shares of the links depend on how many there are.
+			known = len(members)
+			n.spread(false)
+		}
 		isolated := len(members) > 1 && !n.duty.Registered() && len(n.mesh.Linked()) == 0
 		if n.isolated.Swap(isolated) != isolated {
 			klog.InfoS("isolation changed", "isolated", isolated, "members", len(members))
@@ -150,6 +156,15 @@
 	}
 }
 
+// learnPause separates looks at the registered proxies, which come quickly while
+// an installation starts.
+func (n *Node) learnPause() time.Duration {
+	if time.Since(n.started) < settleTime {
+		return learnInterval / 5
+	}
+	return learnInterval
+}
+
 // trusted reports whether this proxy may rely on a primary. One that neither
 // the store nor a peer has heard for the life of a lease may not: who replaces
 // a primary doesn't know of it any more, and can't tell it to stop.
--- a/pkg/rosesupervisor/duty.go
+++ b/pkg/rosesupervisor/duty.go
@@ -26,8 +26,10 @@
 	// dutyTick separates renewals.
 	dutyTick = 2 * time.Second
 	// urgentTick separates looks at vacant duties while a group lacks a
-	// primary.
+	// primary, and looks at the members while an installation may be starting.
 	urgentTick = 300 * time.Millisecond
+	// formingTime is how long that may take.
+	formingTime = 3 * time.Second
 	// claimTick separates looks at whether this proxy's turn to claim a vacant
 	// duty has come; it is a fraction of takeoverPause and calls no store.
 	claimTick = 100 * time.Millisecond
@@ -135,9 +137,10 @@
 // Run renews the lease and claims vacant duties until ctx ends, and then
 // returns what it holds.
 func (d *Duty) Run(ctx context.Context) {
+	settled := d.config.Clock.Now().Add(formingTime)
 	for ctx.Err() == nil {
 		pause := dutyTick
-		if d.config.Urgent() {
+		if d.config.Urgent() || d.config.Clock.Now().Before(settled) {
 			pause = urgentTick
 		}
 		if !d.tick(ctx) {
