--- a/internal/rosesoak/wire.go
+++ b/internal/rosesoak/wire.go
@@ -1,7 +1,6 @@
 package rosesoak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -97,7 +96,7 @@
 				return
 			}
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/pkg/rosecaller/carrier.go
@@ -0,0 +1,89 @@
+package rosecaller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
+	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// CarrierConfig sets up a Carrier.
+type CarrierConfig struct {
+	// Group returns the targets of a group.
+	Group  func(name string) (*rosefleet.Group, bool)
+	Budget *roseadmit.Budget
+}
+
+// Carrier runs tasks on the targets that this proxy has links to.
+type Carrier struct {
+	config CarrierConfig
+}
+
+var _ Executor = (*Carrier)(nil)
+
+// NewCarrier returns a carrier.
+func NewCarrier(config CarrierConfig) *Carrier { return &Carrier{config} }
+
+// Run runs a statement outside a transaction.
+func (c *Carrier) Run(ctx context.Context, task Task) Result {
+	c.config.Budget.Earn()
+	j := &job{carrier: c, task: task}
+	return j.result(j.runAlone(ctx, task.Statement))
+}
+
+// Begin opens a transaction with its first statement.
+func (c *Carrier) Begin(ctx context.Context, task Task) (Transaction, Result) {
+	c.config.Budget.Earn()
+	j := &job{carrier: c, task: task, block: rosemary.BlockOpen}
+	result := j.result(j.runFirst(ctx, task.Statement))
+	if !result.Open {
+		return nil, result
+	}
+	return j, result
+}
+
+// job is one task, or one transaction with the task that it runs now.
+type job struct {
+	carrier *Carrier
+	task    Task
+	block   rosemary.Block
+	lease   *rosefleet.Lease
+	wrote   bool
+	// target is the last one that the job had a lease on.
+	target  rosemary.TargetID
+	primary bool
+}
+
+var _ Transaction = (*job)(nil)
+
+// Next runs a further statement of the transaction.
+func (j *job) Next(_ context.Context, task Task) Result {
+	j.task = task
+	return j.result(j.runNext(task.Deadline, task.Statement))
+}
+
+// Rollback ends what is open on a target and gives the link back.
+func (j *job) Rollback() {
+	if j.lease == nil {
+		return
+	}
+	answers, _, err := j.lease.Exchange(time.Now().Add(rollbackTimeout), rosemary.Statement{Kind: rosemary.StatementRollback})
+	j.lease.Release(err == nil && answers[0].Block == rosemary.BlockIdle)
+	j.lease = nil
+}
+
+// took records which target a lease is on.
+func (j *job) took(lease *rosefleet.Lease) { j.target, j.primary = lease.Target(), lease.Primary() }
+
+func (j *job) result(answer rosemary.Answer, refusal *rosemary.Refusal) Result {
+	answer.Block = j.block
+	return Result{
+		Answer: answer, Refusal: refusal, Floor: j.task.Floor, Uncertain: j.task.Uncertain,
+		Target: j.target, Primary: j.primary, Open: j.lease != nil,
+	}
+}
+
+// rollbackTimeout bounds the rollback of a transaction on a target.
+const rollbackTimeout = 500 * time.Millisecond
