rosenode: read targets at once on becoming a home

Cause: a proxy that read the targets before it knew its groups, or before the targets had registered, counted as home of none and read them again after 8.4 s; so did one that becomes a home later. Change: the long interval needs known groups, and a proxy that becomes a home reads at once.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -88,11 +88,12 @@
 }
 
 // targetsReadInterval returns the interval between reads of the targets. Once
-// they have been read, it is longer for a proxy that serves no group.
+// they have been read and the groups are known, it is longer for a proxy that serves
+// no group.
 func (n *Node) targetsReadInterval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.targetsLoaded {
+	if !n.targetsLoaded || len(n.groups) == 0 {
 		return targetsInterval
 	}
 	for _, g := range n.groups {
@@ -146,6 +147,14 @@
 	}
 }
 
+// requestTargetsRead has the targets read at once, as those known may be outdated.
+func (n *Node) requestTargetsRead() {
+	select {
+	case n.readTargetsNow <- struct{}{}:
+	default:
+	}
+}
+
 // awaitTargetsRead waits until the targets are due to be read again.
 func (n *Node) awaitTargetsRead(ctx context.Context) {
 	timer := time.NewTimer(n.targetsReadInterval())
@@ -207,7 +216,11 @@
 		if time.Since(n.startedAt) < startupTime {
 			limits = limitToSlots(limits, slots)
 		}
+		wasHome := g.home
 		g.home = isHome(n.config.Self.Proxy, groupHomes)
+		if g.home && !wasHome && !fromStore {
+			n.requestTargetsRead()
+		}
 		if !g.home && g.servedTemporarily() && !fromStore {
 			continue
 		}
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -125,10 +125,7 @@
 		return
 	}
 	klog.InfoS("group served without being its home", "group", name)
-	select {
-	case n.readTargetsNow <- struct{}{}:
-	default:
-	}
+	n.requestTargetsRead()
 }
 
 // relayCandidates returns the home proxies to try to relay a task to, and adds to
