store: void leases, locks and revisions of an earlier epoch

Cause: a store restored from an older copy gives out revisions and lease numbers again. Nothing read its epoch, and a fencing token was the revision of the claim: two holders could promote with the same token, or the later with a lower one, and a holder that missed the restore went on beside the next one. At shutdown a proxy deletes its keys instead of revoking a lease that may be another's. A store without epochs is used as before.

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -91,6 +91,7 @@
 			Weight: int(settings.Limits.CoreShare * weightPerCore),
 		},
 		Incarnation:       strconv.FormatInt(time.Now().UnixNano(), 36),
+		FirstStart:        settings.FirstStart,
 		Store:             store,
 		Targets:           roseplatform.TargetRegistry{Store: store},
 		Configurations:    roseplatform.ConfigurationStore{Store: store},
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -48,10 +48,16 @@
 // followConfiguration applies each new configuration in the store.
 func (n *Node) followConfiguration(ctx context.Context) {
 	revision, fetchedAt := int64(0), time.Time{}
+	epoch := n.config.Store.Epoch()
 	lost := false
 	for ctx.Err() == nil {
 		var configuration *rosemary.Configuration
 		var err error
+		if newest := n.config.Store.Epoch(); newest != epoch {
+			// Revisions of an earlier epoch are void.
+			epoch, revision = newest, 0
+			n.locks.RefreshNow()
+		}
 		if revision == 0 || time.Since(fetchedAt) > n.scaleInterval(fetchInterval) {
 			callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 			configuration, revision, err = n.config.Configurations.Fetch(callCtx)
@@ -123,6 +129,7 @@
 // followTargets updates the groups with the targets registered in the store.
 func (n *Node) followTargets(ctx context.Context) {
 	failed := false
+	epoch := n.config.Store.Epoch()
 	var regainedAt time.Time
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
@@ -140,6 +147,9 @@
 				regainedAt = time.Now()
 			}
 			failed = false
+			if newest := n.config.Store.Epoch(); newest != epoch {
+				epoch, regainedAt = newest, time.Now()
+			}
 			n.metrics.setUnreadableEntries(unreadable)
 			n.replaceTargets(registrations, time.Since(regainedAt) < reregistrationTime)
 		}
@@ -166,23 +176,35 @@
 	}
 }
 
-// replaceTargets replaces the known targets. With keepMissing, it keeps those
-// that aren't in registrations.
-func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, keepMissing bool) {
+// replaceTargets replaces the known targets. With keepNewer, it keeps those that
+// aren't in registrations, and newer registrations than those.
+func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, keepNewer bool) {
 	n.mu.Lock()
-	if keepMissing {
-		for _, previous := range n.registrations {
-			same := func(r rosemary.TargetRegistration) bool { return r.ID == previous.ID }
-			if !slices.ContainsFunc(registrations, same) {
-				registrations = append(registrations, previous)
-			}
-		}
+	if keepNewer {
+		registrations = mergeRegistrations(n.registrations, registrations)
 	}
 	n.registrations, n.targetsLoaded = registrations, true
 	n.mu.Unlock()
 	n.updateGroups(true)
 }
 
+// mergeRegistrations returns read, with the known registrations that are missing in
+// it or were made later by the same incarnation of a target: a store that has been
+// away or was restored may lack them for a while.
+func mergeRegistrations(known, read []rosemary.TargetRegistration) []rosemary.TargetRegistration {
+	merged := slices.Clone(read)
+	for _, k := range known {
+		i := slices.IndexFunc(merged, func(r rosemary.TargetRegistration) bool { return r.ID == k.ID })
+		switch {
+		case i < 0:
+			merged = append(merged, k)
+		case merged[i].Incarnation == k.Incarnation && merged[i].Sequence < k.Sequence:
+			merged[i] = k
+		}
+	}
+	return merged
+}
+
 // updateGroups passes the targets and connection limits to the groups, and
 // starts and stops groups as configured. fromStore tells that the targets have
 // just been read from the store; a group that is served temporarily is updated
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -39,6 +39,10 @@
 	m.set.GetOrCreateCounter("rosemary_configuration_version").Set(uint64(version))
 }
 
+func (m *Metrics) countStoreRestore() {
+	m.set.GetOrCreateCounter("rosemary_store_restores_total").Inc()
+}
+
 func (m *Metrics) setUnreadableEntries(count int) {
 	m.set.GetOrCreateCounter("rosemary_unreadable_entries").Set(uint64(count))
 }
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -27,7 +27,9 @@
 type Config struct {
 	Self rosemary.Member
 	// Incarnation differs for each start of this proxy.
-	Incarnation    string
+	Incarnation string
+	// FirstStart is set if the whole system starts for the first time.
+	FirstStart     bool
 	Store          rosemary.MetadataStore
 	Targets        rosemary.TargetSource
 	Configurations rosemary.ConfigurationSource
@@ -123,11 +125,13 @@
 		Clock:          config.Clock,
 		Self:           config.Self,
 		Incarnation:    config.Incarnation,
+		FirstStart:     config.FirstStart,
 		Prefix:         keyPrefix,
 		Groups:         n.homeGroups,
 		Peers:          peers{n.mesh},
 		PrimaryZone:    n.primaryZone,
 		PrimaryMissing: n.primaryMissing,
+		OnRestore:      n.metrics.countStoreRestore,
 	})
 	return n
 }
--- a/internal/rosesettings/platform.go
+++ b/internal/rosesettings/platform.go
@@ -23,9 +23,12 @@
 	Region string
 	// Seeds are the admin addresses of some proxies, which may be outdated. They
 	// aren't used.
-	Seeds  []string
-	Listen PlatformListen
-	Store  Address
+	Seeds []string
+	// FirstStart is set while the whole system starts for the first time, so that
+	// no proxy can have held a lock before.
+	FirstStart bool
+	Listen     PlatformListen
+	Store      Address
 	// Promoter is the service that replaces a primary on request.
 	Promoter Address
 	Limits   PlatformLimits
--- a/pkg/rosemary/metadata_store.go
+++ b/pkg/rosemary/metadata_store.go
@@ -47,8 +47,13 @@
 // MetadataStore is the platform's metadata store: a key-value store with prefix
 // listings, leases and transactions; lock managers use it. A failed call may
 // still have taken effect, so callers have to read the keys back. The error is a
-// trace.ConnectionProblem if the store can't be reached or rejects the call.
+// trace.ConnectionProblem if the store can't be reached or rejects the call, or
+// if the answer is of an earlier epoch than one seen before.
 type MetadataStore interface {
+	// Epoch returns the newest epoch that an answer of the store has carried,
+	// zero if none has. It rises each time the store is restored from an older
+	// copy. Revisions, leases and watch positions of earlier epochs are void.
+	Epoch() uint64
 	// Read returns the latest value of key, or trace.NotFound.
 	Read(ctx context.Context, key string) (Item, error)
 	// List returns the keys with the prefix and the store's revision. With
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -59,13 +59,18 @@
 	abstainMargin = 300 * time.Millisecond
 	// abstainTimeout bounds the wait for the promises of all other proxies.
 	abstainTimeout = 400 * time.Millisecond
-	// releaseTimeout bounds the revocation of the lease at shutdown.
+	// releaseTimeout bounds the deletion of this proxy's keys at shutdown.
 	releaseTimeout = 500 * time.Millisecond
+	// maxReleasedKeys is the number of keys deleted in one change, each of which
+	// has a precondition; the store accepts 32 entries.
+	maxReleasedKeys = 16
 )
 
 const (
 	memberPrefix = "Members/"
 	lockPrefix   = "Duties/"
+	// settledKey exists once locks may be claimed in the store's epoch.
+	settledKey = "Settled"
 )
 
 // LockManagerConfig configures a LockManager.
@@ -76,6 +81,9 @@
 	Self  rosemary.Member
 	// Incarnation differs for each start of this proxy.
 	Incarnation string
+	// FirstStart is set if the whole system starts for the first time, so that no
+	// proxy can have held a lock before.
+	FirstStart bool
 	// Prefix is put before every key.
 	Prefix string
 	// Groups lists the groups whose locks this proxy may claim.
@@ -88,6 +96,9 @@
 	PrimaryZone func(group string) (rosemary.Zone, time.Time)
 	// PrimaryMissing reports whether a group lacks a primary.
 	PrimaryMissing func() bool
+	// OnRestore is called when the store has been restored from an older copy. It
+	// must not block, and may be nil.
+	OnRestore func()
 }
 
 // Peers sends requests about locks to the other proxies.
@@ -99,18 +110,25 @@
 
 // LockManager keeps this proxy registered in the store, and holds the failover
 // locks of some groups: only the holder may replace the primary. A lock is a
-// key under the proxy's lease. Its generation is the store's revision at which
-// it was claimed, so a later holder always has a greater one; it serves as a
-// fencing token. Log events and store keys call the lock a duty.
+// key under the proxy's lease. Its generation consists of the store's epoch and
+// the revision at which it was claimed, so a later holder always has a greater
+// one; it serves as a fencing token. Log events and store keys call the lock a
+// duty.
 type LockManager struct {
 	config LockManagerConfig
+	// refreshNow makes Run refresh at once.
+	refreshNow chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// epoch is the store's epoch that the fields below belong to.
+	epoch    epochState
 	lease    int64
 	lifetime time.Duration
 	// renewedAt is when the last successful renewal was sent.
 	renewedAt time.Time
-	// held maps the groups whose locks are held to their generations.
+	// memberRevision is the revision of this proxy's member key.
+	memberRevision int64
+	// held maps the groups whose locks are held to the revisions of their claims.
 	held    map[string]int64
 	members []rosemary.Member
 	// freeSince is when the lock of a group was first seen to be free.
@@ -139,13 +157,31 @@
 
 // NewLockManager returns a lock manager that holds nothing; Run starts it.
 func NewLockManager(config LockManagerConfig) *LockManager {
-	return &LockManager{config: config, held: make(map[string]int64), freeSince: make(map[string]time.Time)}
+	if config.OnRestore == nil {
+		config.OnRestore = func() {}
+	}
+	return &LockManager{
+		config:     config,
+		refreshNow: make(chan struct{}, 1),
+		held:       make(map[string]int64),
+		freeSince:  make(map[string]time.Time),
+	}
+}
+
+// RefreshNow has the lease renewed and free locks claimed at once, as another call
+// has found that the store was restored.
+func (l *LockManager) RefreshNow() {
+	select {
+	case l.refreshNow <- struct{}{}:
+	default:
+	}
 }
 
 // Run renews the lease and claims free locks until ctx ends, and then revokes
 // the lease.
 func (l *LockManager) Run(ctx context.Context) {
 	startupUntil := l.config.Clock.Now().Add(clusterStartTime)
+	l.learnEpoch(ctx)
 	for ctx.Err() == nil {
 		delay := renewInterval
 		if l.config.PrimaryMissing() || l.config.Clock.Now().Before(startupUntil) {
@@ -183,14 +219,36 @@
 		if len(free) > 0 {
 			remaining = min(remaining, claimCheckInterval)
 		}
-		roseclock.Sleep(ctx, remaining)
+		if l.sleep(ctx, remaining) {
+			return
+		}
 	}
 }
 
-// release revokes the lease, which removes the locks and the registration.
+// sleep waits for delay, or until ctx ends or a refresh is requested; it reports the
+// latter.
+func (l *LockManager) sleep(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-l.refreshNow:
+		return true
+	}
+	return false
+}
+
+// release deletes the locks and the registration of this proxy. It doesn't revoke
+// the lease: if the store has been restored unnoticed, the lease's number may
+// belong to another proxy.
 func (l *LockManager) release() {
 	l.mu.Lock()
-	lease := l.lease
+	lease, prefix := l.lease, l.keyPrefix()
+	keys := []rosemary.Precondition{{Key: prefix + memberPrefix + string(l.config.Self.Proxy), Revision: l.memberRevision}}
+	for group, revision := range l.held {
+		keys = append(keys, rosemary.Precondition{Key: prefix + lockPrefix + group, Revision: revision})
+	}
 	l.lease = 0
 	clear(l.held)
 	l.mu.Unlock()
@@ -199,8 +257,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := l.config.Store.RevokeLease(ctx, lease); err != nil {
-		klog.InfoS("lease not returned, it will expire", "lease", lease, "err", roselog.ErrorMessage(err))
+	for chunk := range slices.Chunk(keys, maxReleasedKeys) {
+		change := rosemary.Change{Preconditions: chunk}
+		for _, k := range chunk {
+			change.Deletes = append(change.Deletes, k.Key)
+		}
+		if _, err := l.config.Store.Apply(ctx, change); err != nil {
+			klog.InfoS("keys not deleted, their lease will expire", "lease", lease, "keys", len(chunk), "err", roselog.ErrorMessage(err))
+		}
 	}
 }
 
@@ -214,12 +278,16 @@
 	listing, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	// Without locks to claim only the members are of interest, for which a
 	// stale list, which is cheaper, is sufficient.
-	items, _, err := l.config.Store.List(listing, l.config.Prefix, len(groups) == 0)
+	prefix := l.currentPrefix()
+	items, _, err := l.config.Store.List(listing, prefix, len(groups) == 0)
 	cancel()
-	if err != nil {
+	if err != nil || l.syncEpoch() {
 		return false
 	}
-	locks := l.applyListing(items)
+	locks := l.applyListing(prefix, items)
+	if len(groups) > 0 {
+		l.settle(ctx)
+	}
 	for _, group := range groups {
 		l.considerClaim(ctx, group, locks[group])
 	}
@@ -270,6 +338,7 @@
 func (l *LockManager) ensureLease(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
+	l.syncEpoch()
 	l.mu.Lock()
 	lease := l.lease
 	l.mu.Unlock()
@@ -277,6 +346,9 @@
 	if lease != 0 {
 		err := l.config.Store.RenewLease(ctx, lease)
 		switch {
+		case l.syncEpoch():
+			// The lease may be another proxy's now.
+			return false
 		case err == nil:
 			l.mu.Lock()
 			l.renewedAt = sentAt
@@ -308,8 +380,15 @@
 
 // register gets a lease and writes this proxy's member key under it.
 func (l *LockManager) register(ctx context.Context) bool {
+	if !l.mayRegister() {
+		return false
+	}
 	sentAt := l.config.Clock.Now()
 	lease, lifetime, err := l.config.Store.GrantLease(ctx, leaseLifetime)
+	if l.syncEpoch() {
+		// It isn't known which epoch the lease belongs to.
+		return false
+	}
 	if err != nil {
 		l.recordStoreFailure(0, err)
 		return false
@@ -320,26 +399,35 @@
 	if err != nil {
 		return false
 	}
-	_, err = l.config.Store.Apply(ctx, rosemary.Change{Writes: []rosemary.Item{{
-		Key: l.config.Prefix + memberPrefix + string(l.config.Self.Proxy), Value: value, Lease: lease,
+	revision, err := l.config.Store.Apply(ctx, rosemary.Change{Writes: []rosemary.Item{{
+		Key: l.currentPrefix() + memberPrefix + string(l.config.Self.Proxy), Value: value, Lease: lease,
 	}}})
+	if l.syncEpoch() {
+		return false
+	}
 	if err != nil {
 		l.recordStoreFailure(lease, err)
 		return false
 	}
-	klog.InfoS("registered", "proxy", l.config.Self.Proxy, "lease", lease, "lifetime", lifetime)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	klog.InfoS("registered", "proxy", l.config.Self.Proxy, "epoch", l.epoch.number, "lease", lease, "lifetime", lifetime)
 	l.lease, l.lifetime, l.renewedAt, l.storeFailing = lease, lifetime, sentAt, false
+	l.memberRevision = revision
 	return true
 }
 
 // applyListing replaces the members known, and returns the lock keys by group.
-func (l *LockManager) applyListing(items []rosemary.Item) map[string]rosemary.Item {
+func (l *LockManager) applyListing(prefix string, items []rosemary.Item) map[string]rosemary.Item {
 	locks := make(map[string]rosemary.Item)
 	var members []rosemary.Member
+	settled := false
 	for _, item := range items {
-		key := strings.TrimPrefix(item.Key, l.config.Prefix)
+		key := strings.TrimPrefix(item.Key, prefix)
+		if key == settledKey {
+			settled = true
+			continue
+		}
 		if group, ok := strings.CutPrefix(key, lockPrefix); ok {
 			locks[group] = item
 			continue
@@ -355,7 +443,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members = members
+	if settled {
+		l.epoch.settle()
+		l.epoch.recorded = true
+	}
+	l.members = l.epoch.withEarlierMembers(members)
 	return locks
 }
 
@@ -366,13 +458,21 @@
 	return l.lease != 0 && l.config.Clock.Now().Before(l.renewedAt.Add(l.lifetime-leaseMargin))
 }
 
-// ReadMembers reads the registered proxies from the store.
+// ReadMembers reads the registered proxies from the store. It fails while proxies
+// may not have registered again after a restore of the store.
 func (l *LockManager) ReadMembers(ctx context.Context) ([]rosemary.Member, error) {
-	items, _, err := l.config.Store.List(ctx, l.config.Prefix+memberPrefix, false)
+	prefix := l.currentPrefix()
+	items, _, err := l.config.Store.List(ctx, prefix+memberPrefix, false)
 	if err != nil {
 		return nil, err
 	}
-	l.applyListing(items)
+	l.mu.Lock()
+	complete := l.epoch.number == l.config.Store.Epoch() && l.epoch.claimable()
+	l.mu.Unlock()
+	if !complete {
+		return nil, trace.CompareFailed("proxies may not have registered since the store was restored")
+	}
+	l.applyListing(prefix, items)
 	return l.Members(), nil
 }
 
@@ -388,14 +488,15 @@
 // come, or if an earlier incarnation of this proxy holds it.
 func (l *LockManager) considerClaim(ctx context.Context, group string, item rosemary.Item) {
 	l.mu.Lock()
-	generation, held := l.held[group]
+	revision, held := l.held[group]
 	members := l.members
 	lease := l.lease
 	if held {
 		delete(l.freeSince, group)
+		claimable := l.epoch.claimable()
 		l.mu.Unlock()
-		if item.Revision == generation {
-			l.handOver(ctx, group, generation)
+		if item.Revision == revision && claimable {
+			l.handOver(ctx, group, revision)
 		}
 		return
 	}
@@ -415,11 +516,12 @@
 		since = now
 		l.freeSince[group] = now
 	}
+	inherited, claimable := l.epoch.heldBefore[group], l.epoch.claimable()
 	l.mu.Unlock()
-	if item.Revision == 0 && now.Sub(since) < l.claimDelay(group, members) {
-		return
+	turn := inherited || claimable && now.Sub(since) >= l.claimDelay(group, members)
+	if item.Revision != 0 || turn {
+		l.claim(ctx, group, item.Revision, lease)
 	}
-	l.claim(ctx, group, item.Revision, lease)
 }
 
 // claimDelay returns how long a lock has to be free before this proxy claims it.
@@ -449,7 +551,7 @@
 
 // handOver releases a lock if the group's primary has been in this proxy's own
 // zone for handOverDelay, and there are proxies in other zones to claim it.
-func (l *LockManager) handOver(ctx context.Context, group string, generation int64) {
+func (l *LockManager) handOver(ctx context.Context, group string, revision int64) {
 	zone, since := l.config.PrimaryZone(group)
 	settled := zone == l.config.Self.Zone && l.config.Clock.Now().Sub(since) > handOverDelay
 	otherZones := slices.ContainsFunc(l.Members(), func(m rosemary.Member) bool { return m.Zone != zone })
@@ -458,15 +560,15 @@
 	}
 	l.mu.Lock()
 	delete(l.held, group)
+	key := l.keyPrefix() + lockPrefix + group
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	key := l.config.Prefix + lockPrefix + group
 	_, err := l.config.Store.Apply(ctx, rosemary.Change{
-		Preconditions: []rosemary.Precondition{{Key: key, Revision: generation}},
+		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
 		Deletes:       []string{key},
 	})
-	klog.InfoS("duty handed over", "group", group, "generation", generation, "zone", zone, "err", roselog.ErrorMessage(err))
+	klog.InfoS("duty handed over", "group", group, "revision", revision, "zone", zone, "err", roselog.ErrorMessage(err))
 }
 
 // claim claims a lock if its key is still at revision; zero stands for an absent
@@ -474,12 +576,12 @@
 func (l *LockManager) claim(ctx context.Context, group string, revision, lease int64) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	key := l.config.Prefix + lockPrefix + group
+	key := l.currentPrefix() + lockPrefix + group
 	value, err := json.Marshal(lockRecord{Proxy: l.config.Self.Proxy, Incarnation: l.config.Incarnation})
 	if err != nil {
 		return
 	}
-	generation, err := l.config.Store.Apply(ctx, rosemary.Change{
+	claimedAt, err := l.config.Store.Apply(ctx, rosemary.Change{
 		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
 		Writes:        []rosemary.Item{{Key: key, Value: value, Lease: lease}},
 	})
@@ -490,15 +592,17 @@
 			klog.V(1).InfoS("duty not claimed", "group", group, "err", roselog.ErrorMessage(err))
 			return
 		}
-		generation = item.Revision
+		claimedAt = item.Revision
 	}
+	// A restore in between ends the lease.
+	l.syncEpoch()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.lease != lease {
 		return
 	}
-	l.held[group] = generation
-	klog.InfoS("duty claimed", "group", group, "generation", generation, "lease", lease)
+	l.held[group] = claimedAt
+	klog.InfoS("duty claimed", "group", group, "generation", generation(l.epoch.number, claimedAt), "epoch", l.epoch.number, "revision", claimedAt, "lease", lease)
 }
 
 // Holds reports whether this proxy may replace the primary of a group now, under
@@ -506,10 +610,18 @@
 func (l *LockManager) Holds(group string) (int64, time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	generation, held := l.held[group]
+	revision, held := l.held[group]
+	until := l.heldUntil()
+	current := l.epoch.number == l.config.Store.Epoch()
+	return generation(l.epoch.number, revision), until, held && current && l.config.Clock.Now().Before(until)
+}
+
+// heldUntil returns until when the locks stay with this proxy. The caller holds the
+// lock.
+func (l *LockManager) heldUntil() time.Time {
 	until := l.renewedAt.Add(l.lifetime - leaseMargin)
 	if l.storeFailing && l.peersAbstainUntil.After(until) {
 		until = l.peersAbstainUntil
 	}
-	return generation, until, held && l.config.Clock.Now().Before(until)
+	return until
 }
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -114,6 +114,8 @@
 	// unknown. The request may still take effect, so no other target is promoted
 	// while this one is fenced.
 	pendingSuccessor rosemary.TargetID
+	// generation is that of the lock under which the current attempt began.
+	generation int64
 
 	mu      sync.Mutex
 	reports map[rosemary.ProxyID]unreachableReport
@@ -158,10 +160,12 @@
 	for roseclock.Sleep(ctx, replacerInterval) {
 		view := r.config.Group.View()
 		action, due := r.assess(view)
-		if _, _, holds := r.config.Locks.Holds(r.config.Group.Name()); !holds {
+		generation, _, holds := r.config.Locks.Holds(r.config.Group.Name())
+		if !holds {
 			r.reportPrimary(ctx, view)
 			continue
 		}
+		r.generation = generation
 		r.step(ctx, view, action, due)
 	}
 }
@@ -559,6 +563,9 @@
 	return best.Target, found
 }
 
+// errLockLost ends an attempt before it requests a promotion.
+var errLockLost = trace.AccessDenied("failover lock was lost, or claimed anew, since the replacement began; it starts over if the lock is held")
+
 // promote requests the promotion and waits for the successor to become primary.
 // A request whose outcome is unknown is repeated for the same successor, as it
 // may still take effect.
@@ -566,6 +573,9 @@
 	var err error
 	for range promoteAttempts {
 		err = r.requestPromotion(ctx, successor)
+		if trace.IsAccessDenied(err) {
+			break
+		}
 		if err == nil || trace.IsCompareFailed(err) {
 			r.pendingSuccessor = ""
 			break
@@ -589,12 +599,12 @@
 	return trace.LimitExceeded("target %s did not become primary in time", successor)
 }
 
-// requestPromotion requests a promotion if this proxy still holds the failover
-// lock.
+// requestPromotion requests a promotion if this proxy still holds the failover lock
+// under the generation with which the attempt began.
 func (r *Replacer) requestPromotion(ctx context.Context, target rosemary.TargetID) error {
 	generation, until, holds := r.config.Locks.Holds(r.config.Group.Name())
-	if !holds {
-		return trace.CompareFailed("failover lock was lost before the promotion was requested")
+	if !holds || generation != r.generation {
+		return errLockLost
 	}
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
