replace: have all proxies stop before a planned successor leads

Cause: a step-down waited for no lease, and an answer doesn't show that its target no longer leads. Ruled out: the term carried in the answer, as a replica's answers carry the position of its log, whose term is the old one until it follows; a check after the answer, as what it would check is the lease, which unfenced replicas extend. Change: after the step-down all proxies are asked to stop using the primary, while a replica catches up. If not all confirm, the replicas are fenced and primary leases expire first; if a replica can't be fenced, the old primary is promoted again and the replacement tried anew after 2 s. A planned replacement interrupts writes some 10 ms longer.

--- a/internal/rosenode/follow_test.go
+++ b/internal/rosenode/follow_test.go
@@ -38,16 +38,22 @@
 	}{
 		{"missing in the store", []rosemary.TargetRegistration{registration("a", 1, 5, false)}, nil, []rosemary.TargetRegistration{registration("a", 1, 5, false)}},
 		{
-			"older in the store", []rosemary.TargetRegistration{registration("a", 1, 5, true)},
-			[]rosemary.TargetRegistration{registration("a", 1, 4, false)}, []rosemary.TargetRegistration{registration("a", 1, 5, true)},
+			"older in the store",
+			[]rosemary.TargetRegistration{registration("a", 1, 5, true)},
+			[]rosemary.TargetRegistration{registration("a", 1, 4, false)},
+			[]rosemary.TargetRegistration{registration("a", 1, 5, true)},
 		},
 		{
-			"newer in the store", []rosemary.TargetRegistration{registration("a", 1, 5, false)},
-			[]rosemary.TargetRegistration{registration("a", 1, 6, true)}, []rosemary.TargetRegistration{registration("a", 1, 6, true)},
+			"newer in the store",
+			[]rosemary.TargetRegistration{registration("a", 1, 5, false)},
+			[]rosemary.TargetRegistration{registration("a", 1, 6, true)},
+			[]rosemary.TargetRegistration{registration("a", 1, 6, true)},
 		},
 		{
-			"restarted", []rosemary.TargetRegistration{registration("a", 1, 5, false)},
-			[]rosemary.TargetRegistration{registration("a", 2, 1, false)}, []rosemary.TargetRegistration{registration("a", 2, 1, false)},
+			"restarted",
+			[]rosemary.TargetRegistration{registration("a", 1, 5, false)},
+			[]rosemary.TargetRegistration{registration("a", 2, 1, false)},
+			[]rosemary.TargetRegistration{registration("a", 2, 1, false)},
 		},
 	}
 	for _, test := range tests {
--- a/pkg/rosesupervisor/assess.go
+++ b/pkg/rosesupervisor/assess.go
@@ -45,6 +45,9 @@
 // String returns the value of the log field "need".
 func (a Action) String() string { return actionNames[a] }
 
+// planned reports whether the action replaces a primary that answers.
+func (a Action) planned() bool { return a == ActionSwitchover || a == ActionReplaceIsolated }
+
 // How long a condition has to persist before it is acted on, so that
 // transient states are ignored.
 const (
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -52,6 +52,8 @@
 	// clockRateMargin is added to the wait for the primary lease to expire, as
 	// clocks of different VMs run at slightly different rates.
 	clockRateMargin = 20 * time.Millisecond
+	// leaseWait is how long after the last fence every primary lease has expired.
+	leaseWait = rosegroup.PrimaryLeaseTime + clockRateMargin
 	// peerPollInterval is the least time between polls of, or reports to, the
 	// other proxies about one group's primary.
 	peerPollInterval = 500 * time.Millisecond
@@ -67,6 +69,9 @@
 	unreachableShare = 1.0 / 3
 	// replacerInterval is the polling interval of a Replacer.
 	replacerInterval = 25 * time.Millisecond
+	// plannedRetryDelay separates attempts to replace a primary that answers, each of
+	// which interrupts writes.
+	plannedRetryDelay = 2 * time.Second
 	// replaceRetryDelay follows a failed replacement or promotion request.
 	replaceRetryDelay = 100 * time.Millisecond
 )
@@ -114,6 +119,9 @@
 	// unknown. The request may still take effect, so no other target is promoted
 	// while this one is fenced.
 	pendingSuccessor rosemary.TargetID
+	// plannedAfter is when a primary that answers may be replaced, after an attempt
+	// that had to promote it again.
+	plannedAfter time.Time
 	// generation is that of the lock under which the current attempt began.
 	generation int64
 
@@ -211,6 +219,9 @@
 		r.repairTargets(ctx, view)
 		return
 	}
+	if action.planned() && r.config.Clock.Now().Before(r.plannedAfter) {
+		return
+	}
 	if !due || !r.confirmedByPeers(ctx, action, view) {
 		return
 	}
@@ -341,38 +352,79 @@
 }
 
 // replace has the primary step down if it answers, and otherwise fences its
-// replicas and waits until no proxy uses it any more. It then has a successor
-// promoted.
+// replicas. Once no proxy uses the primary any more, it has a successor promoted.
 func (r *Replacer) replace(ctx context.Context, action Action, view rosefleet.View) error {
 	term := view.Term + 1
-	if action == ActionSwitchover || action == ActionReplaceIsolated {
+	planned := action.planned()
+	if planned {
 		if err := r.pingPromoter(ctx); err != nil {
 			return err
 		}
 	}
 	steppedDown, oldPrimary := r.demote(ctx, view, action, term)
-	if (action == ActionSwitchover || action == ActionReplaceIsolated) && !steppedDown {
+	if steppedDown {
+		return r.replaceSteppedDown(ctx, view, term, oldPrimary)
+	}
+	if planned {
 		return trace.ConnectionProblem(nil, "primary did not step down")
 	}
-	fenced, err := r.fence(ctx, view, term, steppedDown, oldPrimary)
+	fenced, err := r.fence(ctx, view, term)
 	if err != nil {
 		return err
 	}
-	if steppedDown {
-		fenced = r.awaitCatchUp(ctx, view, oldPrimary, fenced)
-	} else if !r.awaitLeaseExpiry(ctx, view) {
+	if !r.awaitLeaseExpiry(ctx, view) {
 		return ctx.Err()
-	} else if r.answersAgain(view) {
+	}
+	if r.answersAgain(view) {
 		r.unfence(ctx, view, fenced)
 		return trace.CompareFailed("primary %s answers again, replacement is given up", view.PrimaryLease.Target)
-	} else if err := r.verifyFences(ctx, fenced); err != nil {
+	}
+	if err := r.verifyFences(ctx, fenced); err != nil {
 		return err
 	}
-	successor, found := chooseSuccessor(view, fenced, oldPrimary)
+	return r.promoteBest(ctx, view, fenced, rosemary.Status{})
+}
+
+// replaceSteppedDown has the successor of a primary that has stepped down promoted,
+// once a replica has received its whole log and no proxy takes answers of the old
+// primary for those of a primary. A proxy that hasn't confirmed this relies on the old
+// primary until its lease expires, which the replicas extend unless they are fenced.
+// If they can't be, the old primary itself is promoted again.
+func (r *Replacer) replaceSteppedDown(ctx context.Context, view rosefleet.View, term uint64, oldPrimary rosemary.Status) error {
+	var revocation errgroup.Group
+	revoked := false
+	revocation.Go(func() error {
+		revoked = r.config.Voters == nil || r.revokeOnAllProxies(ctx, view.Term)
+		return nil
+	})
+	statuses := r.awaitCatchUp(ctx, view, oldPrimary, r.queryReplicas(ctx, view))
+	_ = revocation.Wait()
+	if revoked {
+		return r.promoteBest(ctx, view, append(statuses, oldPrimary), oldPrimary)
+	}
+	fenced, err := r.fence(ctx, view, term)
+	if err != nil {
+		klog.InfoS("old primary promoted again", "group", r.config.Group.Name(), "target", oldPrimary.Target, "err", roselog.ErrorMessage(err))
+		r.plannedAfter = r.config.Clock.Now().Add(plannedRetryDelay)
+		return r.promote(ctx, oldPrimary.Target)
+	}
+	if !r.awaitLeaseTime(ctx) {
+		return ctx.Err()
+	}
+	if err := r.verifyFences(ctx, fenced); err != nil {
+		return err
+	}
+	return r.promoteBest(ctx, view, append(fenced, oldPrimary), oldPrimary)
+}
+
+// promoteBest promotes the best of the candidates, or the one of an earlier request
+// whose outcome is unknown.
+func (r *Replacer) promoteBest(ctx context.Context, view rosefleet.View, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	successor, found := chooseSuccessor(view, candidates, oldPrimary)
 	if !found {
-		return trace.CompareFailed("no fenced target to promote")
+		return trace.CompareFailed("no target to promote")
 	}
-	if slices.ContainsFunc(fenced, func(s rosemary.Status) bool { return s.Target == r.pendingSuccessor }) {
+	if slices.ContainsFunc(candidates, func(s rosemary.Status) bool { return s.Target == r.pendingSuccessor }) {
 		successor = r.pendingSuccessor
 	}
 	return r.promote(ctx, successor)
@@ -387,9 +439,12 @@
 	if view.HasPrimaryTarget && view.PrimaryTarget.ConnectionRefused && r.config.Voters != nil && r.revokeOnAllProxies(ctx, view.Term) {
 		return true
 	}
-	return roseclock.Sleep(ctx, time.Until(fencedAt.Add(rosegroup.PrimaryLeaseTime+clockRateMargin)))
+	return roseclock.Sleep(ctx, time.Until(fencedAt.Add(leaseWait)))
 }
 
+// awaitLeaseTime returns once every primary lease that is not extended has expired.
+func (r *Replacer) awaitLeaseTime(ctx context.Context) bool { return roseclock.Sleep(ctx, leaseWait) }
+
 // answersAgain reports whether a primary that was unresponsive answers now, so
 // that it doesn't have to be replaced.
 func (r *Replacer) answersAgain(view rosefleet.View) bool {
@@ -438,47 +493,61 @@
 	return err == nil && status.Role == rosemary.RoleReplica, status
 }
 
-// fence fences every replica by Conn.Pause, and returns the statuses of all
-// targets that may be promoted. All replicas have to be fenced, as one that isn't
-// would keep the primary lease valid. If the primary has stepped down, fence only
-// queries their statuses, and leaves out those that don't answer.
-func (r *Replacer) fence(ctx context.Context, view rosefleet.View, term uint64, steppedDown bool, oldPrimary rosemary.Status) ([]rosemary.Status, error) {
-	var tasks errgroup.Group
-	answers := make([]rosemary.Status, len(view.Targets))
-	errs := make([]error, len(view.Targets))
-	for i, t := range view.Targets {
-		if t.ID == view.PrimaryLease.Target && view.HasPrimaryTarget {
-			continue
+// fence fences every replica by Conn.Pause, and returns their statuses. All have to
+// be fenced, as one that isn't would keep the primary lease valid; otherwise fence
+// ends the fences and fails.
+func (r *Replacer) fence(ctx context.Context, view rosefleet.View, term uint64) ([]rosemary.Status, error) {
+	answers, errs := r.controlReplicas(ctx, view, "pause", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) {
+		return c.Pause(deadline, term)
+	})
+	var fenced []rosemary.Status
+	var failed error
+	for i, status := range answers {
+		switch {
+		case errs[i] != nil:
+			failed = errs[i]
+		case status.PausedTerm == 0:
+			failed = trace.CompareFailed("target %s didn't accept the fence", status.Target)
+		default:
+			fenced = append(fenced, status)
 		}
+	}
+	if failed != nil {
+		r.unfence(ctx, view, fenced)
+		return nil, trace.ConnectionProblem(failed, "a replica could not be fenced")
+	}
+	return fenced, nil
+}
+
+// queryReplicas returns the statuses of the replicas that answer.
+func (r *Replacer) queryReplicas(ctx context.Context, view rosefleet.View) []rosemary.Status {
+	answers, errs := r.controlReplicas(ctx, view, "status", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) {
+		return c.Status(deadline)
+	})
+	var statuses []rosemary.Status
+	for i, status := range answers {
+		if errs[i] == nil {
+			statuses = append(statuses, status)
+		}
+	}
+	return statuses
+}
+
+// controlReplicas calls all targets but the primary at once.
+func (r *Replacer) controlReplicas(ctx context.Context, view rosefleet.View, order string, call func(rosemary.Conn, time.Time) (rosemary.Status, error)) ([]rosemary.Status, []error) {
+	replicas := slices.DeleteFunc(slices.Clone(view.Targets), func(t rosefleet.TargetView) bool {
+		return t.ID == view.PrimaryLease.Target && view.HasPrimaryTarget
+	})
+	answers, errs := make([]rosemary.Status, len(replicas)), make([]error, len(replicas))
+	var tasks errgroup.Group
+	for i, t := range replicas {
 		tasks.Go(func() error {
-			if steppedDown {
-				answers[i], errs[i] = r.controlTarget(ctx, t.ID, "status", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) { return c.Status(deadline) })
-				return nil
-			}
-			answers[i], errs[i] = r.controlTarget(ctx, t.ID, "pause", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) { return c.Pause(deadline, term) })
+			answers[i], errs[i] = r.controlTarget(ctx, t.ID, order, call)
 			return nil
 		})
 	}
 	_ = tasks.Wait()
-	var fenced []rosemary.Status
-	for i, t := range view.Targets {
-		if t.ID == view.PrimaryLease.Target && view.HasPrimaryTarget {
-			continue
-		}
-		usable := errs[i] == nil && (steppedDown || answers[i].PausedTerm > 0)
-		if usable {
-			fenced = append(fenced, answers[i])
-			continue
-		}
-		if !steppedDown {
-			r.unfence(ctx, view, fenced)
-			return nil, trace.ConnectionProblem(errs[i], "target %s could not be fenced", t.ID)
-		}
-	}
-	if oldPrimary.Target != "" {
-		fenced = append(fenced, oldPrimary)
-	}
-	return fenced, nil
+	return answers, errs
 }
 
 // verifyFences checks that no replica has restarted since it was fenced: a
