soak: keep logs, listen on a loopback address of its own

(2) A proxy once exited at 6.3 s and at each restart; its log was lost. Likely cause, not shown by that run: ports of processes that are down are free, and other soaks on 127.0.0.1 could take them. TestBrokenBuildIsCaught is no longer passed over.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,8 @@
 .PHONY: test lint build bench fuzz
 
 # Packages that run concurrently are tested under the race detector.
-# The tests of KNOWN-RED.txt are passed over.
-KNOWN_RED = ^(TestBrokenBuildIsCaught)$$
-
 test:
-	go test -race -skip '$(KNOWN_RED)' ./...
+	go test -race ./...
 
 lint:
 	test -z "$$(go tool gofumpt -l .)"
--- a/internal/rosesoak/fault.go
+++ b/internal/rosesoak/fault.go
@@ -144,7 +144,7 @@
 				continue
 			}
 			if unexpected {
-				s.addViolation("process %s exited unexpectedly; its log is %s", p.name, p.logPath)
+				s.addViolation("process %s exited unexpectedly; its log is %s and ends:\n%s", p.name, p.logPath, p.logTail())
 			}
 			if err := p.start(); err != nil {
 				s.addViolation("process %s did not start: %v", p.name, err)
--- a/internal/rosesoak/process.go
+++ b/internal/rosesoak/process.go
@@ -47,11 +47,17 @@
 	maxPortAttempts = 100
 )
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
+// newLoopbackHost returns a random loopback address without a port. Each soak listens
+// on one of its own, so that none takes a port of another's process that is down.
+func newLoopbackHost() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// freeAddress returns an address of a loopback host that nothing listens on.
+func freeAddress(host string) (string, error) {
 	var lastErr error
 	for range maxPortAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		address := fmt.Sprintf("%s:%d", host, minPort+rand.IntN(maxPort-minPort))
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, trace.ConvertSystemError(listener.Close())
@@ -83,10 +89,10 @@
 `
 
 // newProcess writes the settings of a process without starting it.
-func newProcess(directory, program, name, zone, storeAddress, promoterAddress string) (*process, error) {
+func newProcess(directory, program, host, name, zone, storeAddress, promoterAddress string) (*process, error) {
 	var addresses []any
 	for range 4 {
-		address, err := freeAddress()
+		address, err := freeAddress(host)
 		if err != nil {
 			return nil, err
 		}
@@ -105,6 +111,18 @@
 	return p, trace.ConvertSystemError(os.WriteFile(p.settingsPath, []byte(text), 0o600))
 }
 
+// exitReportBytes is how much of a log is reported after an unexpected exit.
+const exitReportBytes = 2 << 10
+
+// logTail returns the end of the process's log.
+func (p *process) logTail() string {
+	text, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-exitReportBytes):])
+}
+
 // start starts the process; its output is appended to its log.
 func (p *process) start() error {
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/internal/rosesoak/soak.go
+++ b/internal/rosesoak/soak.go
@@ -73,9 +73,11 @@
 
 // soak is one run.
 type soak struct {
-	config    Config
-	random    *rand.Rand
-	started   time.Time
+	config  Config
+	random  *rand.Rand
+	started time.Time
+	// host is the loopback address that the proxies and targets listen on.
+	host      string
 	store     *rosestandin.Store
 	group     *rosestandin.Group
 	promoter  *rosestandin.Promoter
@@ -106,7 +108,7 @@
 		config.Out = io.Discard
 	}
 	s := &soak{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), started: time.Now(), store: rosestandin.NewStore(),
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), started: time.Now(), host: newLoopbackHost(), store: rosestandin.NewStore(),
 		report: Report{Outcomes: make(map[string]int)},
 	}
 	defer s.close()
@@ -162,7 +164,7 @@
 	}
 	rosestandin.PutConfiguration(s.store, 1, maxConnections)
 	for n := range s.config.ProxiesPerZone * len(zones) {
-		p, err := newProcess(s.config.Directory, s.config.Program, fmt.Sprint("proxy-", n+1), zones[n%len(zones)], storeAddress, promoterAddress)
+		p, err := newProcess(s.config.Directory, s.config.Program, s.host, fmt.Sprint("proxy-", n+1), zones[n%len(zones)], storeAddress, promoterAddress)
 		if err != nil {
 			return err
 		}
@@ -177,7 +179,7 @@
 // serveTarget starts a target on an address that it keeps across restarts, and
 // registers it under the address of its relay.
 func (s *soak) serveTarget(ctx context.Context, registered rosemary.Target) error {
-	address, err := freeAddress()
+	address, err := freeAddress(s.host)
 	if err != nil {
 		return err
 	}
--- a/internal/rosesoak/soak_test.go
+++ b/internal/rosesoak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -26,13 +27,21 @@
 // notices that its connection is closed.
 const idleCloseTolerance = time.Second
 
+// runSoak runs a seed. The logs of a run with violations are kept.
 func runSoak(t *testing.T, program string, seed uint64, duration time.Duration) rosesoak.Report {
 	t.Helper()
+	directory, err := rosesoak.NewDirectory(seed)
+	qt.Assert(t, err, qt.IsNil)
 	report, err := rosesoak.Run(context.Background(), rosesoak.Config{
-		Program: program, Directory: t.TempDir(), Seed: seed, Duration: duration, ProxiesPerZone: 1, Clients: 6, IdleCloseTolerance: idleCloseTolerance,
+		Program: program, Directory: directory, Seed: seed, Duration: duration, ProxiesPerZone: 1, Clients: 6, IdleCloseTolerance: idleCloseTolerance,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	t.Logf("seed %d: %d faults, %v", seed, report.Faults, report.Outcomes)
+	if len(report.Violations) > 0 {
+		t.Logf("logs are kept in %s", directory)
+	} else {
+		qt.Check(t, os.RemoveAll(directory), qt.IsNil)
+	}
 	return report
 }
 
