rosecaller: end waits between tries with the request

Cause: the backoff between tries, and the wait after a target without a connection left, slept without the request's context, and up to the deadline though no try could follow. Change: both end with the context, and no backoff begins that the deadline would cut. TestRetryWaits failed in two of three cases before.

--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -80,7 +81,8 @@
 
 // prepareRetry reports whether the statement may be retried. The first retry is
 // free, and further ones draw on the retry budget. Before the third and later
-// ones, prepareRetry waits with exponential backoff.
+// ones, prepareRetry waits with exponential backoff, unless the deadline would
+// pass meanwhile.
 func (j *job) prepareRetry(ctx context.Context, execution *execution) bool {
 	execution.tries++
 	if execution.tries >= maxTries || ctx.Err() != nil || !time.Now().Before(execution.deadline) {
@@ -89,10 +91,11 @@
 	if execution.tries > 1 && !j.executor.config.RetryBudget.TryWithdraw() {
 		return false
 	}
-	if execution.tries > 2 {
-		time.Sleep(min(backoffBase<<execution.tries, time.Until(execution.deadline)))
+	if execution.tries <= 2 {
+		return true
 	}
-	return true
+	backoff := backoffBase << execution.tries
+	return backoff < time.Until(execution.deadline) && roseclock.Sleep(ctx, backoff)
 }
 
 // runAutocommit runs a statement outside a transaction.
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -197,7 +198,7 @@
 	if c == nil {
 		var err error
 		if c, err = e.dial(ctx); err != nil {
-			g.handleDialError(e, err)
+			g.handleDialError(ctx, e, err)
 			return nil, nil
 		}
 		lease.pooled = c
@@ -229,12 +230,12 @@
 	return nil, false, e.overloadedRefusal(wait)
 }
 
-func (g *Group) handleDialError(e *endpoint, err error) {
+func (g *Group) handleDialError(ctx context.Context, e *endpoint, err error) {
 	if trace.IsLimitExceeded(err) {
 		g.mu.Lock()
 		e.backoffUntil = g.config.Clock.Now().Add(replicaBackoff)
 		g.mu.Unlock()
-		time.Sleep(chooseInterval)
+		roseclock.Sleep(ctx, chooseInterval)
 		return
 	}
 	g.observeFailure(e, g.config.Clock.Now(), err)
