lock manager: hand a lock over at once, and not during a replacement

Cause: the hand-over looked at the primary's zone alone, and the next holder found the free lock at its next refresh. Change: a lock is handed over only while its primary is valid and answers, and the first in the order of claims is told to claim it.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -134,6 +134,7 @@
 		Peers:          peers{n.mesh},
 		PrimaryZone:    n.primaryZone,
 		PrimaryMissing: n.primaryMissing,
+		PrimaryAnswers: n.primaryAnswers,
 		OnRestore:      n.metrics.countStoreRestore,
 	})
 	return n
@@ -194,6 +195,16 @@
 	return view.PrimaryTarget.Zone, view.PrimarySince
 }
 
+// primaryAnswers reports whether a group's primary is valid and answers this proxy.
+func (n *Node) primaryAnswers(name string) bool {
+	g, found := n.Group(name)
+	if !found {
+		return false
+	}
+	view := g.View()
+	return view.PrimaryValid && view.HasPrimaryTarget && view.PrimaryTarget.UnreachableFor == 0
+}
+
 // runContext returns the context of Run, or a canceled one before Run.
 func (n *Node) runContext() context.Context {
 	n.mu.Lock()
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -233,6 +233,9 @@
 	case rosepeer.AboutAbstain:
 		yes := n.locks.Abstain()
 		return rosewire.Reply{Yes: yes, Known: true}
+	case rosepeer.AboutLockReleased:
+		n.locks.RefreshNow()
+		return rosewire.Reply{Yes: true, Known: true}
 	case rosepeer.AboutTargetStatuses:
 		return rosewire.Reply{Yes: true, Known: true, Facts: n.recentStatuses()}
 	}
@@ -270,6 +273,11 @@
 	return agreedPeers(replies)
 }
 
+// NotifyLockReleased tells a peer to claim the lock of a group now.
+func (p peers) NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string) {
+	p.mesh.Query(ctx, to, rosewire.Question{About: rosepeer.AboutLockReleased, Group: group})
+}
+
 // PollReachability asks all connected peers whether they reach a target. It counts
 // those that replied, those that reach it, and those that don't.
 func (p peers) PollReachability(ctx context.Context, group string, target rosemary.TargetID) (replied, reachedBy, notReachedBy int) {
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -23,6 +23,9 @@
 	// AboutTargetStatuses asks for the target statuses that the peer has
 	// sampled.
 	AboutTargetStatuses = "Facts"
+	// AboutLockReleased tells the peer that the sender has released a lock which the
+	// peer is the first to claim.
+	AboutLockReleased = "LockReleased"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
 	AboutAbstain = "Abstain"
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -96,6 +96,9 @@
 	PrimaryZone func(group string) (rosemary.Zone, time.Time)
 	// PrimaryMissing reports whether a group lacks a primary.
 	PrimaryMissing func() bool
+	// PrimaryAnswers reports whether a group's primary is valid and answers. A lock
+	// isn't handed over without it, as the holder may be replacing the primary.
+	PrimaryAnswers func(group string) bool
 	// OnRestore is called when the store has been restored from an older copy. It
 	// must not block, and may be nil.
 	OnRestore func()
@@ -106,6 +109,9 @@
 	// RequestAbstention asks all not to claim locks for abstainDuration, and
 	// returns those that promised it.
 	RequestAbstention(ctx context.Context) []rosemary.ProxyID
+	// NotifyLockReleased tells a proxy that a group's lock is free, so that it claims
+	// the lock without waiting for its next refresh.
+	NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string)
 }
 
 // LockManager keeps this proxy registered in the store, and holds the failover
@@ -534,28 +540,36 @@
 }
 
 // claimRank returns this proxy's place in the order in which proxies claim a
-// group's lock. Those in the zone of its primary come last.
+// group's lock.
 func (l *LockManager) claimRank(group string, members []rosemary.Member) int {
-	zone, _ := l.config.PrimaryZone(group)
-	var candidates []rosemary.Member
-	earlier := 0
-	for _, m := range members {
-		if (m.Zone == zone) == (l.config.Self.Zone == zone) {
-			candidates = append(candidates, m)
-		} else if m.Zone != zone {
-			earlier++
-		}
+	order := l.claimOrder(group, members)
+	rank := slices.IndexFunc(order, func(m rosemary.Member) bool { return m.Proxy == l.config.Self.Proxy })
+	if rank < 0 {
+		return len(order)
 	}
-	return earlier + rosepeer.RendezvousRank("supervise/"+group, candidates, l.config.Self.Proxy)
+	return rank
 }
 
-// handOver releases a lock if the group's primary has been in this proxy's own
-// zone for handOverDelay, and there are proxies in other zones to claim it.
+// claimOrder returns the order in which proxies claim a group's lock. Those in the
+// zone of its primary come last.
+func (l *LockManager) claimOrder(group string, members []rosemary.Member) []rosemary.Member {
+	zone, _ := l.config.PrimaryZone(group)
+	inZone := func(m rosemary.Member) bool { return m.Zone == zone }
+	order := rosepeer.RendezvousOrder("supervise/"+group, members)
+	last := slices.Clone(order)
+	order = slices.DeleteFunc(order, inZone)
+	last = slices.DeleteFunc(last, func(m rosemary.Member) bool { return !inZone(m) })
+	return append(order, last...)
+}
+
+// handOver releases a lock if the group's primary answers and has been in this
+// proxy's own zone for handOverDelay, and there are proxies in other zones to claim it.
 func (l *LockManager) handOver(ctx context.Context, group string, revision int64) {
 	zone, since := l.config.PrimaryZone(group)
 	settled := zone == l.config.Self.Zone && l.config.Clock.Now().Sub(since) > handOverDelay
-	otherZones := slices.ContainsFunc(l.Members(), func(m rosemary.Member) bool { return m.Zone != zone })
-	if !settled || !otherZones {
+	order := l.claimOrder(group, l.Members())
+	otherZones := len(order) > 0 && order[0].Zone != zone
+	if !settled || !otherZones || !l.config.PrimaryAnswers(group) {
 		return
 	}
 	l.mu.Lock()
@@ -568,7 +582,10 @@
 		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
 		Deletes:       []string{key},
 	})
-	klog.InfoS("duty handed over", "group", group, "revision", revision, "zone", zone, "err", roselog.ErrorMessage(err))
+	klog.InfoS("duty handed over", "group", group, "revision", revision, "zone", zone, "to", order[0].Proxy, "err", roselog.ErrorMessage(err))
+	if err == nil && l.config.Peers != nil {
+		l.config.Peers.NotifyLockReleased(ctx, order[0].Proxy, group)
+	}
 }
 
 // claim claims a lock if its key is still at revision; zero stands for an absent
