lock manager: order claims among the homes of a group

Hypothesis: on large installations a free lock stays free for long, since each proxy waits 400 ms for every proxy before it in the order, though only a group's homes (4 of 61) claim. Change: the order has the homes alone.

--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -82,18 +82,24 @@
 	return len(homes) == 0 || slices.ContainsFunc(homes, func(m rosemary.Member) bool { return m.Proxy == self })
 }
 
-// homesForGroup returns the home proxies of a group under a configuration.
-func (n *Node) homesForGroup(group string, configuration *rosemary.Configuration) []rosemary.Member {
-	return homes(group, n.availableConnsForGroup(group, configuration.Groups[group]), n.locks.Members())
+// homesForGroup returns the home proxies of a group.
+func (n *Node) homesForGroup(group string) []rosemary.Member {
+	return n.homesAmong(group, n.locks.Members())
 }
 
-// homeCount returns the number of home proxies of a group, at least 1.
-func (n *Node) homeCount(group string) int {
+// homesAmong returns those members that are home proxies of a group: all before there
+// is a configuration.
+func (n *Node) homesAmong(group string, members []rosemary.Member) []rosemary.Member {
 	configuration := n.configuration.Load()
 	if configuration == nil {
-		return 1
+		return members
 	}
-	return max(len(n.homesForGroup(group, configuration)), 1)
+	return homes(group, n.availableConnsForGroup(group, configuration.Groups[group]), members)
+}
+
+// homeCount returns the number of home proxies of a group, at least 1.
+func (n *Node) homeCount(group string) int {
+	return max(len(n.homesForGroup(group)), 1)
 }
 
 // availableConnsForGroup is availableConns with the slots of the group's
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -131,6 +131,7 @@
 		FirstStart:     config.FirstStart,
 		Prefix:         keyPrefix,
 		Groups:         n.homeGroups,
+		Contenders:     n.homesAmong,
 		Peers:          peers{n.mesh},
 		PrimaryZone:    n.primaryZone,
 		PrimaryMissing: n.primaryMissing,
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -141,11 +141,10 @@
 // RelayHomes returns the live home proxies that tasks of a group are relayed to,
 // those of this proxy's zone first. It returns none if this proxy is a home.
 func (n *Node) RelayHomes(group string) []rosemary.Member {
-	configuration := n.configuration.Load()
-	if configuration == nil {
+	if n.configuration.Load() == nil {
 		return nil
 	}
-	homes := n.homesForGroup(group, configuration)
+	homes := n.homesForGroup(group)
 	if isHome(n.config.Self.Proxy, homes) {
 		return nil
 	}
--- a/internal/rosenode/statuses.go
+++ b/internal/rosenode/statuses.go
@@ -34,15 +34,11 @@
 // statusSources returns the other proxies that sample the targets of this proxy's
 // home groups.
 func (n *Node) statusSources() []rosemary.ProxyID {
-	configuration := n.configuration.Load()
-	if configuration == nil {
-		return nil
-	}
 	live := n.mesh.LiveMembers()
 	seen := map[rosemary.ProxyID]bool{n.config.Self.Proxy: true}
 	var sources []rosemary.ProxyID
 	for _, name := range n.homeGroups() {
-		groupHomes := n.homesForGroup(name, configuration)
+		groupHomes := n.homesForGroup(name)
 		liveHomes := slices.DeleteFunc(slices.Clone(live), func(m rosemary.Member) bool { return !isHome(m.Proxy, groupHomes) })
 		if len(liveHomes) == 0 {
 			continue
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -88,6 +88,9 @@
 	Prefix string
 	// Groups lists the groups whose locks this proxy may claim.
 	Groups func() []string
+	// Contenders returns those members that may claim the lock of a group; nil means
+	// all.
+	Contenders func(group string, members []rosemary.Member) []rosemary.Member
 	// Peers is nil if there are no other proxies.
 	Peers Peers
 	// PrimaryZone returns the availability zone of a group's primary, and since
@@ -163,6 +166,9 @@
 
 // NewLockManager returns a lock manager that holds nothing; Run starts it.
 func NewLockManager(config LockManagerConfig) *LockManager {
+	if config.Contenders == nil {
+		config.Contenders = func(_ string, members []rosemary.Member) []rosemary.Member { return members }
+	}
 	if config.OnRestore == nil {
 		config.OnRestore = func() {}
 	}
@@ -555,7 +561,7 @@
 func (l *LockManager) claimOrder(group string, members []rosemary.Member) []rosemary.Member {
 	zone, _ := l.config.PrimaryZone(group)
 	inZone := func(m rosemary.Member) bool { return m.Zone == zone }
-	order := rosepeer.RendezvousOrder("supervise/"+group, members)
+	order := rosepeer.RendezvousOrder("supervise/"+group, l.config.Contenders(group, members))
 	last := slices.Clone(order)
 	order = slices.DeleteFunc(order, inZone)
 	last = slices.DeleteFunc(last, func(m rosemary.Member) bool { return !inZone(m) })
