guarantee: let the holder of the lock keep primary leases valid

Change: a proxy whose primary lease is about to end asks the holder, which guarantees the primary for at most 900 ms, if the replicas have proved it since any earlier order must have taken effect (2.7 s after the claim), and if no replacement is under way. A replacement waits as long after its last fence as a guarantee lasts, or has each proxy with one confirm. Cost: a question every 100 ms and proxy while no replica proves the primary.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -39,12 +39,20 @@
 	PeerDialer rosemary.Dialer
 	// Clock has to advance while the VM is suspended.
 	Clock roseclock.Clock
+	// Omit leaves out mechanisms, to measure what they are worth.
+	Omit Omissions
 	// OnZonePartitioned is called when this proxy's zone is cut off from the
 	// other availability zones, and when it no longer is. It must not block, and
 	// may be nil.
 	OnZonePartitioned func(partitioned bool)
 }
 
+// Omissions are mechanisms that tests and experiments leave out.
+type Omissions struct {
+	// Guarantees of lock holders keep primary leases valid.
+	Guarantees bool
+}
+
 // keyPrefix is put before this product's keys in the store.
 const keyPrefix = "Rosemarywell/"
 
@@ -148,7 +156,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followMembers, n.pollStatuses, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -256,6 +256,9 @@
 	case rosepeer.AboutPrimaryRevoked:
 		g.RevokePrimary(question.Term)
 		return rosewire.Reply{Yes: true, Known: true}
+	case rosepeer.AboutGuarantee:
+		forMs := uint64(g.replacer.Guarantee(from, question.Term).Milliseconds())
+		return rosewire.Reply{Yes: forMs > 0, Known: true, ForMs: &forMs}
 	case rosepeer.AboutPrimarySuspected:
 		g.SampleNow(target)
 		return rosewire.Reply{Yes: true, Known: true}
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -306,6 +306,41 @@
 	}
 }
 
+// NeedsGuarantee returns the term of a primary that answers but whose lease ends within
+// remaining. It reports false if there is no such primary.
+func (g *Group) NeedsGuarantee(remaining time.Duration) (uint64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	primary, known := g.primaryTracker.Primary()
+	e := g.endpoints[primary.Target]
+	if !known || e == nil || !e.unreachableSince.IsZero() || !g.config.AllowPrimary() {
+		return 0, false
+	}
+	return primary.Term, primary.ValidUntil.Sub(g.config.Clock.Now()) < remaining
+}
+
+// ObserveGuarantee records that the primary of term isn't replaced before until.
+func (g *Group) ObserveGuarantee(term uint64, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before, _ := g.primaryTracker.Primary()
+	g.primaryTracker.ObserveGuarantee(term, until)
+	now := g.config.Clock.Now()
+	primary, known := g.primaryTracker.Primary()
+	if known && now.Before(primary.ValidUntil) && !now.Before(before.ValidUntil) {
+		klog.InfoS("primary guaranteed", "group", g.config.Name, "target", primary.Target, "term", term, "for", until.Sub(now))
+		g.notifyWaiters()
+	}
+}
+
+// ProvenAt returns the newest term, and when the replicas last proved that its primary
+// had not been replaced.
+func (g *Group) ProvenAt() (uint64, time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primaryTracker.ProvenAt()
+}
+
 // CheckReachable requests the status of a target now, unless its last request
 // failed, and reports whether it answers. known is false if ctx ends first or if
 // the group has no such target.
--- a/pkg/rosegroup/lease_explore_test.go
+++ b/pkg/rosegroup/lease_explore_test.go
@@ -36,6 +36,8 @@
 	// promotesInTime is left out by a promotion that takes effect a tick later than
 	// maxPromotionTicks.
 	promotesInTime bool
+	// stopsGuarantees ends guarantees before the first fence.
+	stopsGuarantees bool
 }
 
 // modelState is one state of the model.
@@ -50,6 +52,8 @@
 	// promotedAt is when the promotion takes effect; -1 before the order.
 	promotedAt int
 	restarts   int
+	// replacing is set from the first fence on.
+	replacing bool
 	// restarted is set for a replica whose restart the proxy has not noticed.
 	restarted [2]bool
 	// queried is the replica whose status the proxy has requested, -1 for none;
@@ -123,13 +127,16 @@
 	fencedAge, promotedIn, restarts, queried int
 	queriedAge                               int
 	recheckedNow, ordered, answered          bool
+	replacing                                bool
+	guaranteedFor                            int
 	response                                 replicaState
 }
 
 func (m modelState) key() stateKey {
 	key := stateKey{
 		fencedAge: -1, restarts: m.restarts, queried: m.queried,
-		recheckedNow: m.recheckedAt == m.now, ordered: m.promotedAt >= 0,
+		recheckedNow: m.recheckedAt == m.now, ordered: m.promotedAt >= 0, replacing: m.replacing,
+		guaranteedFor: max(int(m.tracker.guaranteedUntil.Sub(at(m.now))/tickDuration), 0),
 	}
 	if m.fencedAt >= 0 {
 		key.fencedAge = min(m.now-m.fencedAt, leaseTicks)
@@ -170,7 +177,7 @@
 		}
 		if !m.fenced[r] && m.promotedAt < 0 {
 			next = append(next, m.with(func(n *modelState) {
-				n.fenced[r], n.recheckedAt = true, -1
+				n.fenced[r], n.recheckedAt, n.replacing = true, -1, true
 				if n.fenced[0] && n.fenced[1] {
 					n.fencedAt = n.now
 				}
@@ -194,6 +201,9 @@
 			n.queried = -1
 		}))
 	}
+	if !m.replacing || !safeguards.stopsGuarantees && m.promotedAt < 0 {
+		next = append(next, m.with(func(n *modelState) { n.tracker.ObserveGuarantee(1, at(n.now+leaseTicks)) }))
+	}
 	return append(next, m.promoterSteps(safeguards)...)
 }
 
@@ -268,8 +278,11 @@
 // maxStates is more than the model has.
 const maxStates = 8_000_000
 
+// allSafeguards is the promoter as it is.
+var allSafeguards = promoterSafeguards{waitsForLease: true, rechecksFences: true, promotesInTime: true, stopsGuarantees: true}
+
 func TestNoPrimaryLeaseOutlivesAPromotion(t *testing.T) {
-	states, violated := explore(promoterSafeguards{waitsForLease: true, rechecksFences: true, promotesInTime: true}, maxStates)
+	states, violated := explore(allSafeguards, maxStates)
 	t.Logf("%d states", states)
 	qt.Check(t, violated == nil, qt.IsTrue, qt.Commentf("%+v", violated))
 	qt.Check(t, states < maxStates, qt.IsTrue, qt.Commentf("the exploration is not complete"))
@@ -277,13 +290,16 @@
 
 // The exploration must find a violation if the promoter leaves out a safeguard.
 func TestExplorationFindsBrokenPromoters(t *testing.T) {
-	tests := map[string]promoterSafeguards{
-		"does not wait for leases to expire": {rechecksFences: true, promotesInTime: true},
-		"does not look at the fences again":  {waitsForLease: true, promotesInTime: true},
-		"promotes too late":                  {waitsForLease: true, rechecksFences: true},
+	tests := map[string]func(*promoterSafeguards){
+		"does not wait for leases to expire": func(s *promoterSafeguards) { s.waitsForLease = false },
+		"does not look at the fences again":  func(s *promoterSafeguards) { s.rechecksFences = false },
+		"promotes too late":                  func(s *promoterSafeguards) { s.promotesInTime = false },
+		"guarantees while it replaces":       func(s *promoterSafeguards) { s.stopsGuarantees = false },
 	}
-	for name, safeguards := range tests {
+	for name, leaveOut := range tests {
 		t.Run(name, func(t *testing.T) {
+			safeguards := allSafeguards
+			leaveOut(&safeguards)
 			states, violated := explore(safeguards, maxStates)
 			t.Logf("%d states", states)
 			qt.Check(t, violated != nil, qt.IsTrue)
--- a/pkg/rosegroup/primary_tracker.go
+++ b/pkg/rosegroup/primary_tracker.go
@@ -12,11 +12,13 @@
 	// from the time it was requested, that the primary was not replaced. A
 	// promotion waits as long after its last fence.
 	PrimaryLeaseTime = 900 * time.Millisecond
+	// MaxPromotionTime is how long after its order a promotion takes effect at the
+	// latest.
+	MaxPromotionTime = 2700 * time.Millisecond
 	// minUnfencedTime is how long a replica must have been unfenced before its
 	// status alone extends the primary lease: a restart ends a fence, and a
-	// promotion that was ordered before the restart takes effect within this
-	// time if its promoter doesn't fence the replica again.
-	minUnfencedTime = 2700 * time.Millisecond
+	// promotion may have been ordered before the restart.
+	minUnfencedTime = MaxPromotionTime
 	// positionRetention is how long positions of the primary are kept. Classes
 	// that accept older data are served as if they accepted this age.
 	positionRetention = 10 * time.Second
@@ -39,6 +41,14 @@
 	positions []timedPosition
 	// revokedTerm is the highest term whose primary must no longer be used.
 	revokedTerm uint64
+	// guaranteedUntil is the time before which the primary of guaranteedTerm isn't
+	// replaced, by the word of the only process that may.
+	guaranteedTerm  uint64
+	guaranteedUntil time.Time
+	// lastProvenAt is when the replicas last proved that the primary of provenTerm had
+	// not been replaced.
+	provenTerm   uint64
+	lastProvenAt time.Time
 }
 
 // targetState is what is known of one target.
@@ -94,6 +104,21 @@
 	case s.unfencedSince.IsZero():
 		s.unfencedSince = sentAt
 	}
+	t.recordProof()
+}
+
+// recordProof updates lastProvenAt.
+func (t *PrimaryTracker) recordProof() {
+	primary, known := t.Primary()
+	if !known {
+		return
+	}
+	if primary.Term != t.provenTerm {
+		t.provenTerm, t.lastProvenAt = primary.Term, time.Time{}
+	}
+	if provenAt := t.provenAt(primary.Target); provenAt.After(t.lastProvenAt) {
+		t.lastProvenAt = provenAt
+	}
 }
 
 // SharedStatus is a status that one proxy passes on to another, with the time
@@ -131,6 +156,7 @@
 	if !unfencedBefore || shared.UnfencedSince.After(s.unfencedSince) {
 		s.unfencedSince = shared.UnfencedSince
 	}
+	t.recordProof()
 }
 
 // fencedTerm returns the term that the target was last known to be fenced for;
@@ -159,6 +185,18 @@
 // because a replacement is under way.
 func (t *PrimaryTracker) RevokePrimary(term uint64) { t.revokedTerm = max(t.revokedTerm, term) }
 
+// ObserveGuarantee records that the holder of the group's failover lock, without whom
+// no primary is replaced, guarantees that it doesn't replace that of term before until.
+// This keeps the primary lease valid while no replica can be reached.
+func (t *PrimaryTracker) ObserveGuarantee(term uint64, until time.Time) {
+	if term > t.guaranteedTerm {
+		t.guaranteedTerm, t.guaranteedUntil = term, time.Time{}
+	}
+	if term == t.guaranteedTerm && until.After(t.guaranteedUntil) {
+		t.guaranteedUntil = until
+	}
+}
+
 // ObservePossibleRestart records that a target may have restarted, which would
 // have ended its fence.
 func (t *PrimaryTracker) ObservePossibleRestart(id rosemary.TargetID) {
@@ -192,10 +230,32 @@
 	return PrimaryLease{}, false
 }
 
-// leaseEnd returns when the lease on primary ends. The lease starts at the newest
-// status of a replica that has been unfenced for minUnfencedTime or, if all
-// replicas are unfenced and that is later, at the oldest of their statuses.
+// leaseEnd returns when the lease on primary ends: PrimaryLeaseTime after the replicas
+// last proved it, or at the end of a guarantee.
 func (t *PrimaryTracker) leaseEnd(primary rosemary.TargetID) time.Time {
+	var end time.Time
+	if provenAt := t.provenAt(primary); !provenAt.IsZero() {
+		end = provenAt.Add(PrimaryLeaseTime)
+	}
+	if t.guaranteedTerm == t.term && t.guaranteedUntil.After(end) {
+		end = t.guaranteedUntil
+	}
+	return end
+}
+
+// ProvenAt returns the newest term, and when the replicas last proved that its primary
+// had not been replaced; the time is zero if they haven't.
+func (t *PrimaryTracker) ProvenAt() (uint64, time.Time) {
+	if t.provenTerm != t.term {
+		return t.term, time.Time{}
+	}
+	return t.term, t.lastProvenAt
+}
+
+// provenAt returns the time of the newest status of a replica that has been unfenced
+// for minUnfencedTime or, if all replicas are unfenced and that is later, of the
+// oldest of their statuses.
+func (t *PrimaryTracker) provenAt(primary rosemary.TargetID) time.Time {
 	var provenAt, oldest time.Time
 	replicas, unfenced := 0, 0
 	for id, s := range t.targets {
@@ -216,15 +276,12 @@
 	}
 	if replicas == 0 {
 		// There is no other target to promote.
-		return t.targets[primary].sentAt.Add(PrimaryLeaseTime)
+		return t.targets[primary].sentAt
 	}
 	if unfenced == replicas && oldest.After(provenAt) {
-		provenAt = oldest
-	}
-	if provenAt.IsZero() {
-		return provenAt
+		return oldest
 	}
-	return provenAt.Add(PrimaryLeaseTime)
+	return provenAt
 }
 
 // IsPrimary reports whether the target is certain to be the primary of term at
--- a/pkg/rosegroup/primary_tracker_test.go
+++ b/pkg/rosegroup/primary_tracker_test.go
@@ -92,6 +92,24 @@
 			f.observeUnfenced("b", 1)
 			f.RevokePrimary(1)
 		}, false},
+		{"guaranteed, replicas out of reach", func(f *fixture) {
+			f.observePrimary("a", 1)
+			f.ObserveGuarantee(1, f.now.Add(time.Second))
+		}, true},
+		{"guarantee ended", func(f *fixture) {
+			f.observePrimary("a", 1)
+			f.ObserveGuarantee(1, f.now.Add(time.Second))
+			f.advance(time.Second)
+		}, false},
+		{"guarantee of an earlier term", func(f *fixture) {
+			f.ObserveGuarantee(1, f.now.Add(time.Second))
+			f.observePrimary("a", 2)
+		}, false},
+		{"guaranteed, then revoked", func(f *fixture) {
+			f.observePrimary("a", 1)
+			f.ObserveGuarantee(1, f.now.Add(time.Second))
+			f.RevokePrimary(1)
+		}, false},
 		{"earlier term revoked", func(f *fixture) {
 			f.observePrimary("a", 2)
 			f.observeUnfenced("b", 2)
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -26,6 +26,9 @@
 	// AboutLockReleased tells the peer that the sender has released a lock which the
 	// peer is the first to claim.
 	AboutLockReleased = "LockReleased"
+	// AboutGuarantee asks the holder of a lock for how long it guarantees that the
+	// primary of a term isn't replaced.
+	AboutGuarantee = "Guarantee"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
 	AboutAbstain = "Abstain"
--- a/pkg/rosesupervisor/epoch.go
+++ b/pkg/rosesupervisor/epoch.go
@@ -110,9 +110,9 @@
 		earlierMembers: l.members,
 		registerAfter:  now.Add(rand.N(registrationSpacing * time.Duration(len(l.members)+1))),
 	}
-	for group, revision := range l.held {
+	for group, claim := range l.held {
 		next.heldBefore[group] = now.Before(l.heldUntil())
-		klog.InfoS("duty void", "why", "the store was restored", "group", group, "generation", generation(l.epoch.number, revision),
+		klog.InfoS("duty void", "why", "the store was restored", "group", group, "generation", generation(l.epoch.number, claim.revision),
 			"heldUntil", l.heldUntil().Sub(now))
 	}
 	klog.InfoS("store restored", "epoch", number, "earlierEpoch", l.epoch.number, "lease", l.lease, "duties", len(l.held),
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -137,8 +137,10 @@
 	renewedAt time.Time
 	// memberRevision is the revision of this proxy's member key.
 	memberRevision int64
-	// held maps the groups whose locks are held to the revisions of their claims.
-	held    map[string]int64
+	// held maps the groups whose locks are held to their claims.
+	held map[string]lockClaim
+	// holders maps the groups to the proxies that held their locks at the last listing.
+	holders map[string]rosemary.ProxyID
 	members []rosemary.Member
 	// freeSince is when the lock of a group was first seen to be free.
 	freeSince map[string]time.Time
@@ -151,6 +153,14 @@
 	abstainUntil      time.Time
 }
 
+// lockClaim is a lock that this proxy holds.
+type lockClaim struct {
+	// revision is that of the lock's key.
+	revision int64
+	// at is when the claim was confirmed.
+	at time.Time
+}
+
 // lockRecord is the stored value of a lock's key.
 type lockRecord struct {
 	Proxy       rosemary.ProxyID
@@ -175,7 +185,8 @@
 	return &LockManager{
 		config:     config,
 		refreshNow: make(chan struct{}, 1),
-		held:       make(map[string]int64),
+		held:       make(map[string]lockClaim),
+		holders:    make(map[string]rosemary.ProxyID),
 		freeSince:  make(map[string]time.Time),
 	}
 }
@@ -258,8 +269,8 @@
 	l.mu.Lock()
 	lease, prefix := l.lease, l.keyPrefix()
 	keys := []rosemary.Precondition{{Key: prefix + memberPrefix + string(l.config.Self.Proxy), Revision: l.memberRevision}}
-	for group, revision := range l.held {
-		keys = append(keys, rosemary.Precondition{Key: prefix + lockPrefix + group, Revision: revision})
+	for group, claim := range l.held {
+		keys = append(keys, rosemary.Precondition{Key: prefix + lockPrefix + group, Revision: claim.revision})
 	}
 	l.lease = 0
 	clear(l.held)
@@ -432,6 +443,7 @@
 // applyListing replaces the members known, and returns the lock keys by group.
 func (l *LockManager) applyListing(prefix string, items []rosemary.Item) map[string]rosemary.Item {
 	locks := make(map[string]rosemary.Item)
+	holders := make(map[string]rosemary.ProxyID)
 	var members []rosemary.Member
 	settled := false
 	for _, item := range items {
@@ -442,6 +454,10 @@
 		}
 		if group, ok := strings.CutPrefix(key, lockPrefix); ok {
 			locks[group] = item
+			var record lockRecord
+			if json.Unmarshal(item.Value, &record) == nil {
+				holders[group] = record.Proxy
+			}
 			continue
 		}
 		name, ok := strings.CutPrefix(key, memberPrefix)
@@ -460,6 +476,9 @@
 		l.epoch.recorded = true
 	}
 	l.members = l.epoch.withEarlierMembers(members)
+	if len(locks) > 0 {
+		l.holders = holders
+	}
 	return locks
 }
 
@@ -500,15 +519,15 @@
 // come, or if an earlier incarnation of this proxy holds it.
 func (l *LockManager) considerClaim(ctx context.Context, group string, item rosemary.Item) {
 	l.mu.Lock()
-	revision, held := l.held[group]
+	claim, held := l.held[group]
 	members := l.members
 	lease := l.lease
 	if held {
 		delete(l.freeSince, group)
 		claimable := l.epoch.claimable()
 		l.mu.Unlock()
-		if item.Revision == revision && claimable {
-			l.handOver(ctx, group, revision)
+		if item.Revision == claim.revision && claimable {
+			l.handOver(ctx, group, claim.revision)
 		}
 		return
 	}
@@ -624,7 +643,8 @@
 	if l.lease != lease {
 		return
 	}
-	l.held[group] = claimedAt
+	l.held[group] = lockClaim{claimedAt, l.config.Clock.Now()}
+	l.holders[group] = l.config.Self.Proxy
 	klog.InfoS("duty claimed", "group", group, "generation", generation(l.epoch.number, claimedAt), "epoch", l.epoch.number, "revision", claimedAt, "lease", lease)
 }
 
@@ -633,10 +653,26 @@
 func (l *LockManager) Holds(group string) (int64, time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	revision, held := l.held[group]
+	claim, held := l.held[group]
 	until := l.heldUntil()
 	current := l.epoch.number == l.config.Store.Epoch()
-	return generation(l.epoch.number, revision), until, held && current && l.config.Clock.Now().Before(until)
+	return generation(l.epoch.number, claim.revision), until, held && current && l.config.Clock.Now().Before(until)
+}
+
+// HeldSince returns when this proxy claimed the lock that it holds; zero if it holds
+// none.
+func (l *LockManager) HeldSince(group string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held[group].at
+}
+
+// Holder returns the proxy that held a group's lock when the store was last read.
+func (l *LockManager) Holder(group string) (rosemary.ProxyID, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	holder, known := l.holders[group]
+	return holder, known
 }
 
 // heldUntil returns until when the locks stay with this proxy. The caller holds the
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -131,6 +131,12 @@
 
 	mu      sync.Mutex
 	reports map[rosemary.ProxyID]unreachableReport
+	// replacing is set during an attempt, in which nothing is guaranteed.
+	replacing bool
+	// orderedAt is when the last request for a promotion ended at the latest.
+	orderedAt time.Time
+	// guarantees maps proxies to the ends of the guarantees given to them.
+	guarantees map[rosemary.ProxyID]time.Time
 }
 
 // unreachableReport is another proxy's report that it can't reach a target.
@@ -141,7 +147,7 @@
 
 // NewReplacer returns a replacer; Run starts it.
 func NewReplacer(config ReplacerConfig) *Replacer {
-	return &Replacer{config: config, reports: make(map[rosemary.ProxyID]unreachableReport)}
+	return &Replacer{config: config, reports: make(map[rosemary.ProxyID]unreachableReport), guarantees: make(map[rosemary.ProxyID]time.Time)}
 }
 
 // RecordUnreachable records that another proxy can't reach a target.
@@ -231,7 +237,9 @@
 	}
 	klog.InfoS("replacement begins", "group", r.config.Group.Name(), "need", action.String(), "primary", view.PrimaryLease.Target,
 		"term", view.Term, "failingFor", view.PrimaryTarget.UnreachableFor, "refused", view.PrimaryTarget.ConnectionRefused, "leaving", view.PrimaryTarget.Leaving)
+	r.setReplacing(true)
 	err := r.replace(ctx, action, view)
+	r.setReplacing(false)
 	if err != nil {
 		klog.InfoS("replacement failed", "group", r.config.Group.Name(), "need", action.String(), "err", roselog.ErrorMessage(err))
 		roseclock.Sleep(ctx, replaceRetryDelay)
@@ -487,11 +495,19 @@
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	r.config.Group.RevokePrimary(term)
+	if r.config.Clock.Now().Sub(r.config.Locks.HeldSince(r.config.Group.Name())) < rosegroup.PrimaryLeaseTime {
+		// Guarantees of the lock's last holder, which aren't known here, may last.
+		return false
+	}
 	members, err := r.config.Locks.ReadMembers(ctx)
 	if err != nil {
 		return false
 	}
 	stopped, asked := r.config.Voters.RevokePrimary(ctx, r.config.Group.Name(), term)
+	if proxy, found := r.guaranteedBut(append(stopped, r.config.Self)); found {
+		klog.InfoS("not all have stopped", "group", r.config.Group.Name(), "term", term, "guaranteed", proxy)
+		return false
+	}
 	for _, m := range members {
 		if m.Proxy != r.config.Self && !slices.Contains(stopped, m.Proxy) {
 			klog.InfoS("not all have stopped", "group", r.config.Group.Name(), "term", term, "missing", m.Proxy)
@@ -703,6 +719,9 @@
 	if !holds || generation != r.generation {
 		return errLockLost
 	}
+	r.mu.Lock()
+	r.orderedAt = r.config.Clock.Now().Add(promoteTimeout)
+	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := r.config.Promoter.Promote(ctx, r.config.Group.Name(), target, string(r.config.Self), generation)
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -229,7 +229,9 @@
 	// About is the kind of question: Reach (can the peer reach Target), Stop (stop
 	// using the primary of Term), Suspicion (Target has just not answered the
 	// sender), Complaint (the sender can't reach Target), Abstain (don't claim a lock
-	// for a while) or Facts (send the sampled target statuses).
+	// for a while), LockReleased (claim the lock of Group, which is free), Guarantee
+	// (for how long is the primary of Term not replaced) or Facts (send the sampled
+	// target statuses).
 	About string `cbor:"About"`
 
 	// Group is the group asked about; empty if the question concerns none.
@@ -241,7 +243,8 @@
 	// Target is the target asked about; empty if the question concerns none.
 	Target string `cbor:"Target"`
 
-	// Term is the term whose primary a Stop revokes; zero for other questions.
+	// Term is the term whose primary a Stop revokes or a Guarantee asks about; zero
+	// for other questions.
 	Term uint64 `cbor:"Term"`
 }
 
@@ -268,6 +271,10 @@
 	// Facts are the target statuses that a Question about Facts asked for.
 	Facts []Fact `cbor:"Facts,omitempty"`
 
+	// ForMs is for how long, from the receipt of the Question, the peer guarantees
+	// that the primary isn't replaced; zero for other answers.
+	ForMs *uint64 `cbor:"ForMs,omitempty"`
+
 	// Known is set if the peer had the information to answer. Otherwise, an unset Yes
 	// doesn't mean no.
 	Known bool `cbor:"Known"`
