replace: replace a primary without a vote if all replicas answer

With all replicas fenced by one holder the other side can't use the primary for longer than its lease, so the vote protects nothing. Change: Poll.Agreed, a pure function, also agrees without half of the replies if all other targets answer the holder and nobody who replied reaches the primary.

--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -63,10 +63,6 @@
 	revokeTimeout = 150 * time.Millisecond
 	// reportLifetime is how long a report of an unreachable primary counts.
 	reportLifetime = 1500 * time.Millisecond
-	// unreachableShare is the share of the proxies that must be unable to reach a
-	// primary for it to be replaced although others reach it. At a smaller share
-	// the interruption by a replacement costs clients more than the partition.
-	unreachableShare = 1.0 / 3
 	// replacerInterval is the polling interval of a Replacer.
 	replacerInterval = 25 * time.Millisecond
 	// fenceInterval separates the fences while a promotion is under way. It is a
@@ -256,8 +252,7 @@
 
 // confirmedByPeers polls the other proxies before a primary is replaced: it may
 // be this proxy that is partitioned, and a partition may look like a refused
-// connection too. Half of the proxies have to reply, and enough of them must not
-// reach the primary either.
+// connection too.
 func (r *Replacer) confirmedByPeers(ctx context.Context, action Action, view rosefleet.View) bool {
 	members := len(r.config.Locks.Members())
 	if action == ActionSwitchover || r.config.Voters == nil || members <= 1 {
@@ -271,27 +266,16 @@
 	pollCtx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
 	replied, reachedBy, notReachedBy := r.config.Voters.PollReachability(pollCtx, r.config.Group.Name(), view.PrimaryLease.Target)
-	agreed := ReplacementAgreed(members, replied, reachedBy, notReachedBy, view.HasPrimaryTarget)
+	agreed := Poll{
+		Members: members, Replied: replied, ReachedBy: reachedBy, NotReachedBy: notReachedBy,
+		PrimaryKnown: view.HasPrimaryTarget, ReplicasAnswer: replicasAnswer(view),
+	}.Agreed()
 	klog.InfoS("primary in doubt", "group", r.config.Group.Name(), "target", view.PrimaryLease.Target, "refused", view.PrimaryTarget.ConnectionRefused,
-		"failingFor", view.PrimaryTarget.UnreachableFor, "members", members, "replied", replied, "reachedBy", reachedBy, "missedBy", notReachedBy, "replace", agreed)
+		"failingFor", view.PrimaryTarget.UnreachableFor, "members", members, "replied", replied, "reachedBy", reachedBy, "missedBy", notReachedBy,
+		"replicasAnswer", replicasAnswer(view), "replace", agreed)
 	return agreed
 }
 
-// ReplacementAgreed reports whether the replies of the other proxies allow a
-// replacement: replies from half of all proxies, this one included, are
-// required, and a share of at least unreachableShare of those that know the
-// primary must not reach it, so that a replacement is worthwhile. If no primary
-// is known, the replies suffice.
-func ReplacementAgreed(members, replied, reachedBy, notReachedBy int, primaryKnown bool) bool {
-	if 2*(replied+1) < members {
-		return false
-	}
-	if !primaryKnown {
-		return true
-	}
-	return notReachedBy > 0 && float64(notReachedBy+1) >= unreachableShare*float64(reachedBy+notReachedBy+1)
-}
-
 // AssessReplacement returns the action that the group requires, and how long the
 // condition for the action has to persist.
 func AssessReplacement(view rosefleet.View) (Action, time.Duration) {
