--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
@@ -256,6 +257,13 @@
 	case rosepeer.AboutPrimaryRevoked:
 		g.RevokePrimary(question.Term)
 		return rosewire.Reply{Yes: true, Known: true}
+	case rosepeer.AboutLastPrimary:
+		status, known := g.LastPrimary()
+		if !known {
+			return rosewire.Reply{}
+		}
+		fact := encodeStatus(question.Group, rosegroup.SharedStatus{Status: status}, n.config.Clock.Now())
+		return rosewire.Reply{Yes: true, Known: true, Facts: []rosewire.Fact{fact}}
 	case rosepeer.AboutGuarantee:
 		forMs := uint64(g.replacer.Guarantee(from, question.Term).Milliseconds())
 		return rosewire.Reply{Yes: forMs > 0, Known: true, ForMs: &forMs}
@@ -296,6 +304,21 @@
 	return len(replies), reachedBy, notReachedBy
 }
 
+// LastPrimary asks all connected peers for the newest primary that they knew, and
+// returns the one of the newest term.
+func (p peers) LastPrimary(ctx context.Context, group string) (rosemary.Status, bool) {
+	replies, _ := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutLastPrimary, Group: group})
+	var newest rosemary.Status
+	for _, r := range replies {
+		for _, f := range r.Facts {
+			if status := decodeStatus(f, time.Time{}).Status; status.Term > newest.Term {
+				newest = status
+			}
+		}
+	}
+	return newest, newest.Target != ""
+}
+
 // RevokePrimary asks all connected peers to stop using the primary of term. It
 // returns those that have, and all that were asked.
 func (p peers) RevokePrimary(ctx context.Context, group string, term uint64) (stopped, asked []rosemary.ProxyID) {
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -333,6 +333,14 @@
 	}
 }
 
+// LastPrimary returns the last status of the newest known primary, which may have been
+// replaced since. It reports false if none was ever known.
+func (g *Group) LastPrimary() (rosemary.Status, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primaryTracker.LastPrimary()
+}
+
 // ProvenAt returns the newest term, and when the replicas last proved that its primary
 // had not been replaced.
 func (g *Group) ProvenAt() (uint64, time.Time) {
--- a/pkg/rosegroup/primary_tracker.go
+++ b/pkg/rosegroup/primary_tracker.go
@@ -49,6 +49,9 @@
 	// not been replaced.
 	provenTerm   uint64
 	lastProvenAt time.Time
+	// lastPrimary is the status of the primary of the newest term of which one is known,
+	// as it was while it was primary.
+	lastPrimary rosemary.Status
 }
 
 // targetState is what is known of one target.
@@ -95,6 +98,9 @@
 	fencedTerm := s.fencedTerm()
 	s.status, s.sentAt, s.seen = status, sentAt, true
 	t.term = max(t.term, status.Term, status.Position.LogTerm)
+	if status.Role == rosemary.RolePrimary && status.Term >= t.lastPrimary.Term {
+		t.lastPrimary = status
+	}
 	switch {
 	case !s.unfenced():
 		s.unfencedSince = time.Time{}
@@ -243,6 +249,12 @@
 	return end
 }
 
+// LastPrimary returns the last status of the newest known primary, which may have been
+// replaced since. It reports false if none was ever known.
+func (t *PrimaryTracker) LastPrimary() (rosemary.Status, bool) {
+	return t.lastPrimary, t.lastPrimary.Target != ""
+}
+
 // ProvenAt returns the newest term, and when the replicas last proved that its primary
 // had not been replaced; the time is zero if they haven't.
 func (t *PrimaryTracker) ProvenAt() (uint64, time.Time) {
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -29,6 +29,8 @@
 	// AboutGuarantee asks the holder of a lock for how long it guarantees that the
 	// primary of a term isn't replaced.
 	AboutGuarantee = "Guarantee"
+	// AboutLastPrimary asks for the status of the newest primary that the peer knew.
+	AboutLastPrimary = "LastPrimary"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
 	AboutAbstain = "Abstain"
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -94,6 +94,9 @@
 	// PollReachability returns how many replied, how many of them reach the
 	// target, and how many don't; the rest don't know the target.
 	PollReachability(ctx context.Context, group string, target rosemary.TargetID) (replied, reachedBy, notReachedBy int)
+	// LastPrimary returns the status of the newest primary that any of them knew, as it
+	// was while it was primary. It reports false if none knew any.
+	LastPrimary(ctx context.Context, group string) (rosemary.Status, bool)
 	// RevokePrimary asks all to stop using the primary of term. It returns
 	// those that have, and all that were asked.
 	RevokePrimary(ctx context.Context, group string, term uint64) (stopped, asked []rosemary.ProxyID)
@@ -119,6 +122,9 @@
 	// unknown. The request may still take effect, so no other target is promoted
 	// while this one is fenced.
 	pendingSuccessor rosemary.TargetID
+	// reported is the newest primary that other proxies knew, asked for at reportedAt.
+	reported   rosemary.Status
+	reportedAt time.Time
 	// plannedAfter is when a primary that answers may be replaced, after an attempt
 	// that had to promote it again.
 	plannedAfter time.Time
@@ -173,12 +179,14 @@
 func (r *Replacer) Run(ctx context.Context) {
 	for roseclock.Sleep(ctx, replacerInterval) {
 		view := r.config.Group.View()
-		action, due := r.assess(view)
 		generation, _, holds := r.config.Locks.Holds(r.config.Group.Name())
 		if !holds {
+			r.assess(view)
 			r.reportPrimary(ctx, view)
 			continue
 		}
+		view = r.withReportedPrimary(ctx, view)
+		action, due := r.assess(view)
 		r.generation = generation
 		r.step(ctx, view, action, due)
 	}
@@ -203,6 +211,31 @@
 	r.config.Voters.ReportUnreachable(ctx, r.config.Group.Name(), view.PrimaryLease.Target)
 }
 
+// withReportedPrimary completes a view without a primary, as of a proxy that started
+// after the primary failed: if the newest primary that other proxies knew doesn't answer
+// this one, it is the one to be replaced. Of all targets it alone need not be fenced.
+func (r *Replacer) withReportedPrimary(ctx context.Context, view rosefleet.View) rosefleet.View {
+	if view.HasPrimaryLease || view.Term == 0 || r.config.Voters == nil {
+		return view
+	}
+	if now := r.config.Clock.Now(); now.Sub(r.reportedAt) >= peerPollInterval {
+		r.reportedAt = now
+		ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
+		defer cancel()
+		if reported, known := r.config.Voters.LastPrimary(ctx, r.config.Group.Name()); known && reported.Term >= r.reported.Term {
+			r.reported = reported
+		}
+	}
+	for _, t := range view.Targets {
+		if t.ID == r.reported.Target && t.UnreachableFor > 0 && r.reported.Term >= view.Term {
+			view.PrimaryLease = rosegroup.PrimaryLease{Target: t.ID, Term: r.reported.Term}
+			view.Term = r.reported.Term
+			view.PrimaryTarget, view.HasPrimaryLease, view.HasPrimaryTarget = t, true, true
+		}
+	}
+	return view
+}
+
 // assess returns the action that the group requires, and whether the condition
 // for it has persisted long enough. The time for which the primary has been
 // unreachable counts too, also if another action was required meanwhile.
