replace: end a poll once its result is certain

Change: the poll ends when no missing reply can change its result; the question whether another zone is reachable ends with the first reply.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -136,13 +137,11 @@
 	ctx, cancel := context.WithTimeout(ctx, partitionQueryTimeout)
 	defer cancel()
 	// The question names no target; any reply shows that the peer is reachable.
-	replies, _ := n.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutReachability})
-	for _, r := range replies {
-		if zones[r.From] != n.config.Self.Zone {
-			return true
-		}
-	}
-	return false
+	elsewhere := func(r rosepeer.PeerReply) bool { return zones[r.From] != n.config.Self.Zone }
+	replies := n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutReachability}, func(replies []rosepeer.PeerReply) bool {
+		return slices.ContainsFunc(replies, elsewhere)
+	})
+	return slices.ContainsFunc(replies, elsewhere)
 }
 
 // followMembers passes the registered proxies to the mesh, and detects whether
@@ -289,19 +288,18 @@
 	p.mesh.Query(ctx, to, rosewire.Question{About: rosepeer.AboutLockReleased, Group: group})
 }
 
-// PollReachability asks all connected peers whether they reach a target. It counts
-// those that replied, those that reach it, and those that don't.
-func (p peers) PollReachability(ctx context.Context, group string, target rosemary.TargetID) (replied, reachedBy, notReachedBy int) {
-	replies, _ := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutReachability, Group: group, Target: string(target)})
-	for _, r := range replies {
-		switch {
-		case r.Yes:
-			reachedBy++
-		case r.Known:
-			notReachedBy++
+// PollReachability asks all connected peers whether they reach a target, until the
+// replies decide. It returns them with the poll.
+func (p peers) PollReachability(ctx context.Context, group string, target rosemary.TargetID, poll rosesupervisor.Poll) rosesupervisor.Poll {
+	count := func(replies []rosepeer.PeerReply) rosesupervisor.Poll {
+		counted := poll
+		for _, r := range replies {
+			counted = counted.WithReply(r.Yes, r.Known)
 		}
+		return counted
 	}
-	return len(replies), reachedBy, notReachedBy
+	question := rosewire.Question{About: rosepeer.AboutReachability, Group: group, Target: string(target)}
+	return count(p.mesh.QueryUntil(ctx, question, func(replies []rosepeer.PeerReply) bool { return count(replies).Decided() }))
 }
 
 // LastPrimary asks all connected peers for the newest primary that they knew, and
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -45,19 +45,26 @@
 // QueryAll asks every linked peer. It returns the replies once all have arrived
 // or ctx ends, and the peers that were asked.
 func (m *Mesh) QueryAll(ctx context.Context, question rosewire.Question) ([]PeerReply, []rosemary.ProxyID) {
-	return m.queryPeers(ctx, question, m.LinkedPeers())
+	return m.queryPeers(ctx, question, m.LinkedPeers(), nil)
+}
+
+// QueryUntil asks every linked peer. It returns the replies once they are enough, all
+// have arrived, or ctx ends.
+func (m *Mesh) QueryUntil(ctx context.Context, question rosewire.Question, enough func([]PeerReply) bool) []PeerReply {
+	replies, _ := m.queryPeers(ctx, question, m.LinkedPeers(), enough)
+	return replies
 }
 
 // Query asks one peer. It returns false if no reply arrives before ctx ends.
 func (m *Mesh) Query(ctx context.Context, to rosemary.ProxyID, question rosewire.Question) (rosewire.Reply, bool) {
-	replies, _ := m.queryPeers(ctx, question, []rosemary.ProxyID{to})
+	replies, _ := m.queryPeers(ctx, question, []rosemary.ProxyID{to}, nil)
 	if len(replies) == 0 {
 		return rosewire.Reply{}, false
 	}
 	return replies[0].Reply, true
 }
 
-func (m *Mesh) queryPeers(ctx context.Context, question rosewire.Question, asked []rosemary.ProxyID) ([]PeerReply, []rosemary.ProxyID) {
+func (m *Mesh) queryPeers(ctx context.Context, question rosewire.Question, asked []rosemary.ProxyID, enough func([]PeerReply) bool) ([]PeerReply, []rosemary.ProxyID) {
 	m.mu.Lock()
 	m.lastQuery++
 	question.Number = m.lastQuery
@@ -77,6 +84,9 @@
 		select {
 		case reply := <-replies:
 			received = append(received, reply)
+			if enough != nil && enough(received) {
+				return received, asked
+			}
 		case <-ctx.Done():
 			return received, asked
 		}
--- a/pkg/rosesupervisor/poll.go
+++ b/pkg/rosesupervisor/poll.go
@@ -25,6 +25,27 @@
 	ReplicasAnswer bool
 }
 
+// WithReply adds a reply of another proxy: whether it reaches the primary, and whether
+// it knows.
+func (p Poll) WithReply(reaches, known bool) Poll {
+	p.Replied++
+	switch {
+	case reaches:
+		p.ReachedBy++
+	case known:
+		p.NotReachedBy++
+	}
+	return p
+}
+
+// Decided reports whether a replacement is agreed whatever the proxies that haven't
+// replied yet say.
+func (p Poll) Decided() bool {
+	worst := p
+	worst.ReachedBy += max(p.Members-1-p.Replied, 0)
+	return 2*(p.Replied+1) >= p.Members && worst.Agreed()
+}
+
 // Agreed reports whether a replacement is worthwhile. Without replies from half of all
 // proxies this one may be on the smaller side of a partition, whose larger side still
 // uses the primary. But if all replicas are on this side, the other one can't use it for
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -91,9 +91,9 @@
 
 // Voters sends requests and reports about a group's primary to the other proxies.
 type Voters interface {
-	// PollReachability returns how many replied, how many of them reach the
-	// target, and how many don't; the rest don't know the target.
-	PollReachability(ctx context.Context, group string, target rosemary.TargetID) (replied, reachedBy, notReachedBy int)
+	// PollReachability asks all whether they reach the target, until their replies
+	// decide the poll, and returns it with the replies.
+	PollReachability(ctx context.Context, group string, target rosemary.TargetID, poll Poll) Poll
 	// LastPrimary returns the status of the newest primary that any of them knew, as it
 	// was while it was primary. It reports false if none knew any.
 	LastPrimary(ctx context.Context, group string) (rosemary.Status, bool)
@@ -298,14 +298,13 @@
 	r.polledAt = now
 	pollCtx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
-	replied, reachedBy, notReachedBy := r.config.Voters.PollReachability(pollCtx, r.config.Group.Name(), view.PrimaryLease.Target)
-	agreed := Poll{
-		Members: members, Replied: replied, ReachedBy: reachedBy, NotReachedBy: notReachedBy,
-		PrimaryKnown: view.HasPrimaryTarget, ReplicasAnswer: replicasAnswer(view),
-	}.Agreed()
+	poll := r.config.Voters.PollReachability(pollCtx, r.config.Group.Name(), view.PrimaryLease.Target, Poll{
+		Members: members, PrimaryKnown: view.HasPrimaryTarget, ReplicasAnswer: replicasAnswer(view),
+	})
+	agreed := poll.Agreed()
 	klog.InfoS("primary in doubt", "group", r.config.Group.Name(), "target", view.PrimaryLease.Target, "refused", view.PrimaryTarget.ConnectionRefused,
-		"failingFor", view.PrimaryTarget.UnreachableFor, "members", members, "replied", replied, "reachedBy", reachedBy, "missedBy", notReachedBy,
-		"replicasAnswer", replicasAnswer(view), "replace", agreed)
+		"failingFor", view.PrimaryTarget.UnreachableFor, "members", members, "replied", poll.Replied, "reachedBy", poll.ReachedBy, "missedBy", poll.NotReachedBy,
+		"replicasAnswer", poll.ReplicasAnswer, "replace", agreed)
 	return agreed
 }
 
--- a/pkg/rosesupervisor/replace_test.go
+++ b/pkg/rosesupervisor/replace_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// A poll is decided early only if no further reply can change its result.
+func TestPollDecided(t *testing.T) {
+	tests := []struct {
+		name string
+		poll Poll
+		want bool
+	}{
+		{"a third of all don't reach it", Poll{Members: 7, Replied: 3, NotReachedBy: 3, PrimaryKnown: true}, true},
+		{"less than a third so far", Poll{Members: 7, Replied: 3, NotReachedBy: 1, PrimaryKnown: true}, false},
+		{"less than half replied", Poll{Members: 7, Replied: 2, NotReachedBy: 2, PrimaryKnown: true, ReplicasAnswer: true}, false},
+		{"all replied", Poll{Members: 3, Replied: 2, ReachedBy: 2, PrimaryKnown: true}, false},
+		{"no primary, half replied", Poll{Members: 6, Replied: 2}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { qt.Check(t, test.poll.Decided(), qt.Equals, test.want) })
+	}
+}
+
 func TestChooseSuccessor(t *testing.T) {
 	at := func(id string, offset uint64) rosemary.Status {
 		return rosemary.Status{Target: rosemary.TargetID(id), Position: rosemary.Position{LogTerm: 1, Offset: offset}}
