replace: lift the fences that a dead promoter left

The fault is older: ReplacementAgreed demanded a proxy that doesn't reach the primary. Change: such a group needs no replacement. Once no order of an earlier holder can take effect any more (2.7 s), the holder lifts the fences.

--- a/pkg/rosesupervisor/assess.go
+++ b/pkg/rosesupervisor/assess.go
@@ -36,11 +36,14 @@
 	// reaches the targets that it needs to confirm a write, or that many
 	// proxies can't reach.
 	ActionReplaceIsolated
+	// ActionUnfence is for a primary that answers while replicas are still fenced for
+	// its replacement, as after their promoter died.
+	ActionUnfence
 )
 
 // actionNames are the values of the log field "need". Operators search logs for
 // them, so they stay when a constant is renamed.
-var actionNames = []string{"nothing", "follow", "move", "primary", "reunion"}
+var actionNames = []string{"nothing", "follow", "move", "primary", "reunion", "unfence"}
 
 // String returns the value of the log field "need".
 func (a Action) String() string { return actionNames[a] }
--- a/pkg/rosesupervisor/guarantee.go
+++ b/pkg/rosesupervisor/guarantee.go
@@ -33,6 +33,16 @@
 	return duration
 }
 
+// ordersSettled reports whether every order of an earlier holder of the lock, or of this
+// process, has taken effect or never will.
+func (r *Replacer) ordersSettled() bool {
+	now := r.config.Clock.Now()
+	heldSince := r.config.Locks.HeldSince(r.config.Group.Name())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(heldSince) >= rosegroup.MaxPromotionTime && now.Sub(r.orderedAt) >= rosegroup.MaxPromotionTime
+}
+
 // setReplacing begins or ends an attempt. Guarantees given before it end within
 // rosegroup.PrimaryLeaseTime, for which the attempt waits.
 func (r *Replacer) setReplacing(replacing bool) {
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -33,10 +33,6 @@
 	// unknownPrimaryDelay is how long a group has to be without a primary
 	// before one is promoted.
 	unknownPrimaryDelay = 700 * time.Millisecond
-	// invalidLeaseDelay is how long the primary lease has to be invalid, because
-	// replicas are still fenced after a promotion that was not completed, before
-	// a primary that answers is replaced.
-	invalidLeaseDelay = 2 * time.Second
 	// controlTimeout bounds one control call to a target.
 	controlTimeout = 400 * time.Millisecond
 	// catchUpTimeout bounds the wait for a successor to receive the whole log of
@@ -258,6 +254,12 @@
 		r.repairTargets(ctx, view)
 		return
 	}
+	if action == ActionUnfence {
+		if due && r.ordersSettled() {
+			r.liftFences(ctx, view)
+		}
+		return
+	}
 	if action.planned() && r.config.Clock.Now().Before(r.plannedAfter) {
 		return
 	}
@@ -327,7 +329,7 @@
 	case primary.Leaving:
 		return ActionSwitchover, 0
 	case !view.PrimaryValid && pausedForNewerTerm(view):
-		return ActionFailover, invalidLeaseDelay
+		return ActionUnfence, rosegroup.MaxPromotionTime
 	}
 	return ActionNone, 0
 }
@@ -372,6 +374,15 @@
 	}
 }
 
+// liftFences ends the fences for a term that hasn't begun.
+func (r *Replacer) liftFences(ctx context.Context, view rosefleet.View) {
+	for _, t := range view.Targets {
+		if t.Status.PausedTerm > view.Term && t.UnreachableFor == 0 {
+			_, _ = r.controlTarget(ctx, t.ID, "resume", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) { return c.Resume(deadline) })
+		}
+	}
+}
+
 func (r *Replacer) controlTarget(ctx context.Context, id rosemary.TargetID, order string, call func(rosemary.Conn, time.Time) (rosemary.Status, error)) (rosemary.Status, error) {
 	status, err := r.config.Group.Control(ctx, id, controlTimeout, call)
 	klog.InfoS("order given", "group", r.config.Group.Name(), "target", id, "order", order,
