--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -299,10 +299,8 @@
 	}
 	groups := l.config.Groups()
 	listing, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	// Without locks to claim only the members are of interest, for which a
-	// stale list, which is cheaper, is sufficient.
 	prefix := l.currentPrefix()
-	items, _, err := l.config.Store.List(listing, prefix, len(groups) == 0)
+	items, _, err := l.config.Store.List(listing, prefix, l.staleListSuffices(groups))
 	cancel()
 	if err != nil || l.syncEpoch() {
 		return false
@@ -317,6 +315,17 @@
 	return true
 }
 
+// staleListSuffices reports whether a stale list of locks and members, which is cheaper,
+// is sufficient: no lock was seen to be free, and no primary needs its holder. A claim
+// based on it can't succeed wrongly, as it names the revision.
+func (l *LockManager) staleListSuffices(groups []string) bool {
+	missing := l.config.PrimaryMissing()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	allHeld := !slices.ContainsFunc(groups, func(group string) bool { return l.holders[group] == "" })
+	return len(groups) == 0 || allHeld && len(l.freeSince) == 0 && !missing
+}
+
 // requestAbstention extends the time for which this proxy holds its locks while
 // the store can't be reached: if every registered proxy promises to claim none,
 // the locks stay with this proxy even if its lease expires in the store. A proxy
