--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -83,67 +82,6 @@
 	return server.Serve(listener)
 }
 
-const (
-	// partitionCheckInterval is how often this proxy checks for a partition of
-	// its availability zone.
-	partitionCheckInterval = 150 * time.Millisecond
-	// maxZoneTargetShare is the largest share of all targets that one availability
-	// zone is expected to have: about a third, as there are three zones.
-	maxZoneTargetShare = 0.4
-	// partitionQueryTimeout bounds the wait for a proxy of another zone.
-	partitionQueryTimeout = 250 * time.Millisecond
-)
-
-// watchZonePartition detects whether this proxy's availability zone is cut off
-// from the others: most targets don't answer, and no proxy of another zone does.
-func (n *Node) watchZonePartition(ctx context.Context) {
-	for roseclock.Sleep(ctx, partitionCheckInterval) {
-		partitioned := n.mostTargetsUnreachable() && !n.otherZonesReachable(ctx)
-		if n.zonePartitioned.Swap(partitioned) == partitioned {
-			continue
-		}
-		klog.InfoS("cut off changed", "cutOff", partitioned, "zone", n.config.Self.Zone)
-		n.config.OnZonePartitioned(partitioned)
-	}
-}
-
-// mostTargetsUnreachable reports whether so few targets answer that all of them
-// may be in a single zone.
-func (n *Node) mostTargetsUnreachable() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	targets, answering := 0, 0
-	for _, g := range n.groups {
-		t, a := g.CountReachable()
-		targets += t
-		answering += a
-	}
-	return targets > 1 && float64(answering) <= maxZoneTargetShare*float64(targets)
-}
-
-// otherZonesReachable reports whether a proxy of another zone answers. It
-// returns true if no proxy is registered there, as then no other proxy could
-// serve this proxy's clients.
-func (n *Node) otherZonesReachable(ctx context.Context) bool {
-	zones := make(map[rosemary.ProxyID]rosemary.Zone)
-	otherZones := false
-	for _, m := range n.locks.Members() {
-		zones[m.Proxy] = m.Zone
-		otherZones = otherZones || m.Zone != n.config.Self.Zone
-	}
-	if !otherZones {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, partitionQueryTimeout)
-	defer cancel()
-	// The question names no target; any reply shows that the peer is reachable.
-	elsewhere := func(r rosepeer.PeerReply) bool { return zones[r.From] != n.config.Self.Zone }
-	replies := n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutReachability}, func(replies []rosepeer.PeerReply) bool {
-		return slices.ContainsFunc(replies, elsewhere)
-	})
-	return slices.ContainsFunc(replies, elsewhere)
-}
-
 // followMembers passes the registered proxies to the mesh, and detects whether
 // this proxy is isolated.
 func (n *Node) followMembers(ctx context.Context) {
@@ -299,7 +237,7 @@
 		return counted
 	}
 	question := rosewire.Question{About: rosepeer.AboutReachability, Group: group, Target: string(target)}
-	return count(p.mesh.QueryUntil(ctx, question, func(replies []rosepeer.PeerReply) bool { return count(replies).Decided() }))
+	return count(p.mesh.QueryUntil(ctx, question, p.mesh.LinkedPeers(), func(replies []rosepeer.PeerReply) bool { return count(replies).Decided() }))
 }
 
 // LastPrimary asks all connected peers for the newest primary that they knew, and
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -274,6 +274,15 @@
 	}
 }
 
+// SampleAllNow has all targets sampled at once.
+func (g *Group) SampleAllNow() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.endpoints {
+		e.requestSample()
+	}
+}
+
 // requestSample has the target sampled at once.
 func (e *endpoint) requestSample() {
 	select {
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -48,10 +48,10 @@
 	return m.queryPeers(ctx, question, m.LinkedPeers(), nil)
 }
 
-// QueryUntil asks every linked peer. It returns the replies once they are enough, all
-// have arrived, or ctx ends.
-func (m *Mesh) QueryUntil(ctx context.Context, question rosewire.Question, enough func([]PeerReply) bool) []PeerReply {
-	replies, _ := m.queryPeers(ctx, question, m.LinkedPeers(), enough)
+// QueryUntil asks some peers. It returns the replies once they are enough, all have
+// arrived, or ctx ends.
+func (m *Mesh) QueryUntil(ctx context.Context, question rosewire.Question, asked []rosemary.ProxyID, enough func([]PeerReply) bool) []PeerReply {
+	replies, _ := m.queryPeers(ctx, question, asked, enough)
 	return replies
 }
 
