--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -13,13 +13,10 @@
 	// maxAgeMargin is subtracted from the age that a class accepts, to allow
 	// for the time until a read reaches its target.
 	maxAgeMargin = 150 * time.Millisecond
-	// minFirstReadTimeout and maxFirstReadTimeout bound the time for a read's first
-	// try; see firstReadTimeout.
-	minFirstReadTimeout = 120 * time.Millisecond
-	maxFirstReadTimeout = 400 * time.Millisecond
-	// slowAnswerFactor times the mean response time of a target is more than it takes
-	// for all but a few answers.
-	slowAnswerFactor = 8
+	// firstReadTimeout bounds a read's first try, so that time is left to try
+	// another target. Reads only reach it if their answer is lost or their
+	// target is slow.
+	firstReadTimeout = 400 * time.Millisecond
 	// answerMargin is reserved from a statement's deadline for returning the
 	// answer to the client.
 	answerMargin = 5 * time.Millisecond
@@ -163,7 +160,7 @@
 			return rosemary.Answer{}, tryRetry
 		}
 	}
-	answers, sent, err := lease.Exchange(j.tryDeadline(execution, lease), append(setup, statement)...)
+	answers, sent, err := lease.Exchange(j.tryDeadline(execution), append(setup, statement)...)
 	if err != nil {
 		lease.Release(false)
 		execution.avoid = lease.Target()
@@ -189,23 +186,17 @@
 
 // tryDeadline returns the deadline of the current try. It is shorter for the
 // first try of a read, which can still be retried on another target.
-func (j *job) tryDeadline(execution *execution, lease *rosefleet.ConnLease) time.Time {
+func (j *job) tryDeadline(execution *execution) time.Time {
 	if execution.statement.Writes || execution.tries > 0 {
 		return execution.deadline
 	}
-	tryDeadline := time.Now().Add(firstReadTimeout(lease.MeanResponseTime()))
+	tryDeadline := time.Now().Add(firstReadTimeout)
 	if tryDeadline.Before(execution.deadline) {
 		return tryDeadline
 	}
 	return execution.deadline
 }
 
-// firstReadTimeout returns the time for the first try of a read on a target with a mean
-// response time, so that another target is tried in time if the answer is lost.
-func firstReadTimeout(meanResponseTime time.Duration) time.Duration {
-	return min(max(slowAnswerFactor*meanResponseTime, minFirstReadTimeout), maxFirstReadTimeout)
-}
-
 // classify decides whether an answer is final, is retried, or leaves the
 // outcome of a write unknown.
 func (j *job) classify(execution *execution, lease *rosefleet.ConnLease, answer rosemary.Answer) tryResult {
--- a/pkg/rosecaller/execution_test.go
+++ b/pkg/rosecaller/execution_test.go
@@ -43,15 +43,3 @@
 		})
 	}
 }
-
-func TestFirstReadTimeout(t *testing.T) {
-	tests := map[time.Duration]time.Duration{
-		0:                      120 * time.Millisecond,
-		10 * time.Millisecond:  120 * time.Millisecond,
-		20 * time.Millisecond:  160 * time.Millisecond,
-		100 * time.Millisecond: 400 * time.Millisecond,
-	}
-	for mean, want := range tests {
-		qt.Check(t, firstReadTimeout(mean), qt.Equals, want, qt.Commentf("mean response time %v", mean))
-	}
-}
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -244,9 +244,6 @@
 // Target returns the target of the connection.
 func (l *ConnLease) Target() rosemary.TargetID { return l.endpoint.target.ID }
 
-// MeanResponseTime returns the moving average of the target's response times.
-func (l *ConnLease) MeanResponseTime() time.Duration { return l.endpoint.meanResponseTime() }
-
 // Primary reports whether the target was the primary when the connection was
 // acquired.
 func (l *ConnLease) Primary() bool { return l.term > 0 }
