--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -28,17 +28,21 @@
 
 // watchZonePartition detects whether this proxy's availability zone is cut off
 // from the others: most targets don't answer, and no proxy of another zone does.
-// When a target is lost, all are sampled at once, and the other zones' proxies asked
-// meanwhile, as the partition may be of the zone.
+// When a target is lost here or by a proxy of this zone, all are sampled at once, and
+// the other zones' proxies asked meanwhile, as the partition may be of the zone.
 func (n *Node) watchZonePartition(ctx context.Context) {
 	lostBefore := 0
 	for roseclock.Sleep(ctx, partitionCheckInterval) {
 		lost, _ := n.countTargets()
-		suspected := lost > lostBefore
+		newlyLost := lost > lostBefore
+		lostBefore = lost
+		if newlyLost {
+			n.goroutines.Go(func() { n.notifyZone(ctx) })
+		}
+		suspected := n.zoneSuspected.Swap(false) || newlyLost
 		if suspected {
 			n.sampleTargets()
 		}
-		lostBefore = lost
 		partitioned := (suspected || n.mostTargetsUnreachable()) && !n.otherZonesReachable(ctx) && n.mostTargetsUnreachable()
 		if n.zonePartitioned.Swap(partitioned) == partitioned {
 			continue
@@ -48,6 +52,20 @@
 	}
 }
 
+// notifyZone has the other proxies of this zone check for a partition, too: those that
+// rely on statuses sampled by others would notice the loss of targets later.
+func (n *Node) notifyZone(ctx context.Context) {
+	var neighbours []rosemary.ProxyID
+	for _, m := range n.locks.Members() {
+		if m.Zone == n.config.Self.Zone && m.Proxy != n.config.Self.Proxy {
+			neighbours = append(neighbours, m.Proxy)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutZoneSuspected}, neighbours, nil)
+}
+
 // ServedElsewhere reports whether clients should connect to another proxy, as this
 // one's zone is cut off.
 func (n *Node) ServedElsewhere() bool { return n.zonePartitioned.Load() }
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -174,6 +174,9 @@
 	case rosepeer.AboutLockReleased:
 		n.locks.RefreshNow()
 		return rosewire.Reply{Yes: true, Known: true}
+	case rosepeer.AboutZoneSuspected:
+		n.zoneSuspected.Store(true)
+		return rosewire.Reply{Yes: true, Known: true}
 	case rosepeer.AboutTargetStatuses:
 		return rosewire.Reply{Yes: true, Known: true, Facts: n.recentStatuses()}
 	}
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -31,6 +31,9 @@
 	AboutGuarantee = "Guarantee"
 	// AboutLastPrimary asks for the status of the newest primary that the peer knew.
 	AboutLastPrimary = "LastPrimary"
+	// AboutZoneSuspected tells a peer of the same availability zone that the sender has
+	// just lost targets, so that the peer checks whether the zone is cut off.
+	AboutZoneSuspected = "ZoneSuspicion"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
 	AboutAbstain = "Abstain"
