rosefleet: check for a dead connection and a dead target at once

Hypothesis: a target that has gone silent counts as lost after 0.6 s, since a status unanswered for 300 ms on an idle connection is followed by a dial of 300 ms. Change: after 120 ms without an answer a new connection is tried meanwhile; if neither answers, the target is lost after 0.3 s. A source of statuses in another zone that doesn't answer makes a proxy check for a partition, too, and the answer that no other zone is reachable counts until the samples are in.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -75,7 +75,8 @@
 	isolated atomic.Bool
 	// zonePartitioned is set while this proxy's zone is cut off from the others.
 	zonePartitioned atomic.Bool
-	// zoneSuspected is set when a peer of the zone has lost targets.
+	// zoneSuspected is set when a peer of the zone has lost targets, or a source of
+	// statuses doesn't answer.
 	zoneSuspected atomic.Bool
 
 	// applying is held while a configuration is compared with the one in force and
--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -32,6 +32,7 @@
 // the other zones' proxies asked meanwhile, as the partition may be of the zone.
 func (n *Node) watchZonePartition(ctx context.Context) {
 	lostBefore := 0
+	var unreachableAt time.Time
 	for roseclock.Sleep(ctx, partitionCheckInterval) {
 		lost, _ := n.countTargets()
 		newlyLost := lost > lostBefore
@@ -43,7 +44,10 @@
 		if suspected {
 			n.sampleTargets()
 		}
-		partitioned := (suspected || n.mostTargetsUnreachable()) && !n.otherZonesReachable(ctx) && n.mostTargetsUnreachable()
+		if (suspected || n.mostTargetsUnreachable()) && time.Since(unreachableAt) > partitionQueryTimeout && !n.otherZonesReachable(ctx) {
+			unreachableAt = time.Now()
+		}
+		partitioned := time.Since(unreachableAt) <= partitionQueryTimeout && n.mostTargetsUnreachable()
 		if n.zonePartitioned.Swap(partitioned) == partitioned {
 			continue
 		}
--- a/internal/rosenode/statuses.go
+++ b/internal/rosenode/statuses.go
@@ -24,9 +24,16 @@
 // samples the targets of a group for the others, so that targets don't have to
 // answer every proxy.
 func (n *Node) pollStatuses(ctx context.Context) {
+	unanswered := make(map[rosemary.ProxyID]bool)
 	for roseclock.Sleep(ctx, statusPollInterval) {
 		for _, source := range n.statusSources() {
-			n.pollStatusesFrom(ctx, source)
+			answered := n.pollStatusesFrom(ctx, source)
+			if !answered && !unanswered[source] {
+				// The source may be on the other side of a partition, like the
+				// targets that it has sampled for this proxy.
+				n.zoneSuspected.Store(true)
+			}
+			unanswered[source] = !answered
 		}
 	}
 }
@@ -54,14 +61,15 @@
 
 // pollStatusesFrom asks a proxy for the statuses that it has sampled, and passes
 // them to this proxy's groups. Their ages count from before the question was
-// sent, so that the transfer of the reply makes no status look newer than it is.
-func (n *Node) pollStatusesFrom(ctx context.Context, source rosemary.ProxyID) {
+// sent, so that the transfer of the reply makes no status look newer than it is. It
+// reports whether the proxy answered.
+func (n *Node) pollStatusesFrom(ctx context.Context, source rosemary.ProxyID) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusPollTimeout)
 	defer cancel()
 	askedAt := n.config.Clock.Now()
 	reply, answered := n.mesh.Query(ctx, source, rosewire.Question{About: rosepeer.AboutTargetStatuses})
 	if !answered {
-		return
+		return false
 	}
 	byGroup := make(map[string][]rosegroup.SharedStatus)
 	for _, f := range reply.Facts {
@@ -72,6 +80,7 @@
 			g.ObserveShared(statuses)
 		}
 	}
+	return true
 }
 
 // recentStatuses returns the recent statuses that this proxy has sampled itself.
--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -28,6 +28,11 @@
 	sampleTimeout = 300 * time.Millisecond
 	// dialTimeout limits the time to open a connection.
 	dialTimeout = 300 * time.Millisecond
+	// probeDelay is how long a call on an idle connection may go unanswered before
+	// it is checked whether a new connection can be opened.
+	probeDelay = 120 * time.Millisecond
+	// probeTimeout limits that check.
+	probeTimeout = 150 * time.Millisecond
 )
 
 // runSampler samples the target's status until ctx ends.
@@ -144,7 +149,9 @@
 				return rosemary.Status{}, err
 			}
 		}
+		probe := e.startProbe(ctx, reused)
 		status, err := call(c.conn, time.Now().Add(timeout))
+		probeErr := probe.stop(err != nil)
 		if err == nil || trace.IsLimitExceeded(err) {
 			e.pool.put(c)
 			return status, err
@@ -153,6 +160,10 @@
 		if !reused {
 			return status, err
 		}
+		if probeErr != nil && !trace.IsLimitExceeded(probeErr) {
+			e.pool.flush()
+			return status, probeErr
+		}
 		// An idle connection may be dead while the target is alive. Close the
 		// others too, and try a new one.
 		e.group.observePossibleRestart(e)
@@ -160,6 +171,46 @@
 	}
 }
 
+// probe checks whether a new connection can be opened while a call on an idle one goes
+// unanswered, so that a target that is gone is told from a dead connection without
+// waiting for one after the other.
+type probe struct {
+	timer  *time.Timer
+	cancel context.CancelFunc
+	result chan error
+}
+
+// startProbe starts a probe after probeDelay; it does nothing if not enabled.
+func (e *endpoint) startProbe(ctx context.Context, enabled bool) *probe {
+	if !enabled {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	p := &probe{cancel: cancel, result: make(chan error, 1)}
+	p.timer = time.AfterFunc(probeDelay, func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target)
+		if err == nil {
+			conn.Close()
+		}
+		p.result <- err
+	})
+	return p
+}
+
+// stop ends the probe. With wait it returns the result, nil if the probe hadn't begun.
+func (p *probe) stop(wait bool) error {
+	if p == nil {
+		return nil
+	}
+	defer p.cancel()
+	if p.timer.Stop() || !wait {
+		return nil
+	}
+	return <-p.result
+}
+
 // dial opens a connection that the pool has granted.
 func (e *endpoint) dial(ctx context.Context) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
