--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -230,8 +230,9 @@
 	// using the primary of Term), Suspicion (Target has just not answered the
 	// sender), Complaint (the sender can't reach Target), Abstain (don't claim a lock
 	// for a while), LockReleased (claim the lock of Group, which is free), Guarantee
-	// (for how long is the primary of Term not replaced) or Facts (send the sampled
-	// target statuses).
+	// (for how long is the primary of Term not replaced), LastPrimary (which was the
+	// newest primary that the peer knew), ZoneSuspicion (check whether the zone is
+	// cut off) or Facts (send the sampled target statuses).
 	About string `cbor:"About"`
 
 	// Group is the group asked about; empty if the question concerns none.
@@ -268,7 +269,8 @@
 
 // Reply answers a Question.
 type Reply struct {
-	// Facts are the target statuses that a Question about Facts asked for.
+	// Facts are the target statuses that a Question about Facts or LastPrimary asked
+	// for.
 	Facts []Fact `cbor:"Facts,omitempty"`
 
 	// ForMs is for how long, from the receipt of the Question, the peer guarantees
