rosesupervisor: a file for each step of a replacement and of a lock

Change: declarations moved, none changed: fences, revocation, promotion and assessment of a Replacer; claims and registration of a LockManager.

--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,9 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
-	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
-	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 )
 
 const (
@@ -262,35 +258,6 @@
 	return false
 }
 
-// release deletes the locks and the registration of this proxy. It doesn't revoke
-// the lease: if the store has been restored unnoticed, the lease's number may
-// belong to another proxy.
-func (l *LockManager) release() {
-	l.mu.Lock()
-	lease, prefix := l.lease, l.keyPrefix()
-	keys := []rosemary.Precondition{{Key: prefix + memberPrefix + string(l.config.Self.Proxy), Revision: l.memberRevision}}
-	for group, claim := range l.held {
-		keys = append(keys, rosemary.Precondition{Key: prefix + lockPrefix + group, Revision: claim.revision})
-	}
-	l.lease = 0
-	clear(l.held)
-	l.mu.Unlock()
-	if lease == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	for chunk := range slices.Chunk(keys, maxReleasedKeys) {
-		change := rosemary.Change{Preconditions: chunk}
-		for _, k := range chunk {
-			change.Deletes = append(change.Deletes, k.Key)
-		}
-		if _, err := l.config.Store.Apply(ctx, change); err != nil {
-			klog.InfoS("keys not deleted, their lease will expire", "lease", lease, "keys", len(chunk), "err", roselog.ErrorMessage(err))
-		}
-	}
-}
-
 // refresh renews the lease, and claims free locks. It reports false when the
 // store did not answer.
 func (l *LockManager) refresh(ctx context.Context) bool {
@@ -365,132 +332,6 @@
 	return true
 }
 
-// ensureLease renews the lease, or gets a new one if there is none or it has
-// ended. It reports whether this succeeded.
-func (l *LockManager) ensureLease(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	l.syncEpoch()
-	l.mu.Lock()
-	lease := l.lease
-	l.mu.Unlock()
-	sentAt := l.config.Clock.Now()
-	if lease != 0 {
-		err := l.config.Store.RenewLease(ctx, lease)
-		switch {
-		case l.syncEpoch():
-			// The lease may be another proxy's now.
-			return false
-		case err == nil:
-			l.mu.Lock()
-			l.renewedAt = sentAt
-			l.storeFailing = false
-			l.mu.Unlock()
-			return true
-		case !trace.IsNotFound(err):
-			l.recordStoreFailure(lease, err)
-			return false
-		}
-		l.mu.Lock()
-		klog.InfoS("lease ended, duties lost", "lease", lease, "duties", len(l.held))
-		l.lease, l.storeFailing = 0, false
-		clear(l.held)
-		l.mu.Unlock()
-	}
-	return l.register(ctx)
-}
-
-// recordStoreFailure records that the store neither renewed nor ended the lease.
-func (l *LockManager) recordStoreFailure(lease int64, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.storeFailing {
-		klog.InfoS("store lost", "for", "lease", "lease", lease, "duties", len(l.held), "err", roselog.ErrorMessage(err))
-	}
-	l.storeFailing = true
-}
-
-// register gets a lease and writes this proxy's member key under it.
-func (l *LockManager) register(ctx context.Context) bool {
-	if !l.mayRegister() {
-		return false
-	}
-	sentAt := l.config.Clock.Now()
-	lease, lifetime, err := l.config.Store.GrantLease(ctx, leaseLifetime)
-	if l.syncEpoch() {
-		// It isn't known which epoch the lease belongs to.
-		return false
-	}
-	if err != nil {
-		l.recordStoreFailure(0, err)
-		return false
-	}
-	value, err := json.Marshal(memberRecord{
-		Zone: l.config.Self.Zone, Address: l.config.Self.Address, Weight: l.config.Self.Weight,
-	})
-	if err != nil {
-		return false
-	}
-	revision, err := l.config.Store.Apply(ctx, rosemary.Change{Writes: []rosemary.Item{{
-		Key: l.currentPrefix() + memberPrefix + string(l.config.Self.Proxy), Value: value, Lease: lease,
-	}}})
-	if l.syncEpoch() {
-		return false
-	}
-	if err != nil {
-		l.recordStoreFailure(lease, err)
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	klog.InfoS("registered", "proxy", l.config.Self.Proxy, "epoch", l.epoch.number, "lease", lease, "lifetime", lifetime)
-	l.lease, l.lifetime, l.renewedAt, l.storeFailing = lease, lifetime, sentAt, false
-	l.memberRevision = revision
-	return true
-}
-
-// applyListing replaces the members known, and returns the lock keys by group.
-func (l *LockManager) applyListing(prefix string, items []rosemary.Item) map[string]rosemary.Item {
-	locks := make(map[string]rosemary.Item)
-	holders := make(map[string]rosemary.ProxyID)
-	var members []rosemary.Member
-	settled := false
-	for _, item := range items {
-		key := strings.TrimPrefix(item.Key, prefix)
-		if key == settledKey {
-			settled = true
-			continue
-		}
-		if group, ok := strings.CutPrefix(key, lockPrefix); ok {
-			locks[group] = item
-			var record lockRecord
-			if json.Unmarshal(item.Value, &record) == nil {
-				holders[group] = record.Proxy
-			}
-			continue
-		}
-		name, ok := strings.CutPrefix(key, memberPrefix)
-		var member memberRecord
-		if !ok || json.Unmarshal(item.Value, &member) != nil {
-			continue
-		}
-		members = append(members, rosemary.Member{
-			Proxy: rosemary.ProxyID(name), Zone: member.Zone, Address: member.Address, Weight: member.Weight,
-		})
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if settled {
-		l.epoch.settle()
-		l.epoch.recorded = true
-	}
-	l.members = l.epoch.withEarlierMembers(members)
-	if len(locks) > 0 {
-		l.holders = holders
-	}
-	return locks
-}
-
 // Registered reports whether this proxy's lease is certain to be in force.
 func (l *LockManager) Registered() bool {
 	l.mu.Lock()
@@ -524,139 +365,6 @@
 	return l.members
 }
 
-// considerClaim claims a group's lock if it is free and this proxy's turn has
-// come, or if an earlier incarnation of this proxy holds it.
-func (l *LockManager) considerClaim(ctx context.Context, group string, item rosemary.Item) {
-	l.mu.Lock()
-	claim, held := l.held[group]
-	members := l.members
-	lease := l.lease
-	if held {
-		delete(l.freeSince, group)
-		claimable := l.epoch.claimable()
-		l.mu.Unlock()
-		if item.Revision == claim.revision && claimable {
-			l.handOver(ctx, group, claim.revision)
-		}
-		return
-	}
-	var holder lockRecord
-	if item.Revision != 0 && json.Unmarshal(item.Value, &holder) == nil && holder.Proxy != l.config.Self.Proxy {
-		delete(l.freeSince, group)
-		l.mu.Unlock()
-		return
-	}
-	now := l.config.Clock.Now()
-	if now.Before(l.abstainUntil) {
-		l.mu.Unlock()
-		return
-	}
-	since, seen := l.freeSince[group]
-	if !seen {
-		since = now
-		l.freeSince[group] = now
-	}
-	inherited, claimable := l.epoch.heldBefore[group], l.epoch.claimable()
-	l.mu.Unlock()
-	turn := inherited || claimable && now.Sub(since) >= l.claimDelay(group, members)
-	if item.Revision != 0 || turn {
-		l.claim(ctx, group, item.Revision, lease)
-	}
-}
-
-// claimDelay returns how long a lock has to be free before this proxy claims it.
-func (l *LockManager) claimDelay(group string, members []rosemary.Member) time.Duration {
-	delay := time.Duration(l.claimRank(group, members)) * claimStagger
-	if zone, _ := l.config.PrimaryZone(group); zone == "" {
-		delay += unknownZoneDelay
-	}
-	return delay
-}
-
-// claimRank returns this proxy's place in the order in which proxies claim a
-// group's lock.
-func (l *LockManager) claimRank(group string, members []rosemary.Member) int {
-	order := l.claimOrder(group, members)
-	rank := slices.IndexFunc(order, func(m rosemary.Member) bool { return m.Proxy == l.config.Self.Proxy })
-	if rank < 0 {
-		return len(order)
-	}
-	return rank
-}
-
-// claimOrder returns the order in which proxies claim a group's lock. Those in the
-// zone of its primary come last.
-func (l *LockManager) claimOrder(group string, members []rosemary.Member) []rosemary.Member {
-	zone, _ := l.config.PrimaryZone(group)
-	inZone := func(m rosemary.Member) bool { return m.Zone == zone }
-	order := rosepeer.RendezvousOrder("supervise/"+group, l.config.Contenders(group, members))
-	last := slices.Clone(order)
-	order = slices.DeleteFunc(order, inZone)
-	last = slices.DeleteFunc(last, func(m rosemary.Member) bool { return !inZone(m) })
-	return append(order, last...)
-}
-
-// handOver releases a lock if the group's primary answers and has been in this
-// proxy's own zone for handOverDelay, and there are proxies in other zones to claim it.
-func (l *LockManager) handOver(ctx context.Context, group string, revision int64) {
-	zone, since := l.config.PrimaryZone(group)
-	settled := zone == l.config.Self.Zone && l.config.Clock.Now().Sub(since) > handOverDelay
-	order := l.claimOrder(group, l.Members())
-	otherZones := len(order) > 0 && order[0].Zone != zone
-	if !settled || !otherZones || !l.config.PrimaryAnswers(group) {
-		return
-	}
-	l.mu.Lock()
-	delete(l.held, group)
-	key := l.keyPrefix() + lockPrefix + group
-	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	_, err := l.config.Store.Apply(ctx, rosemary.Change{
-		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
-		Deletes:       []string{key},
-	})
-	klog.InfoS("duty handed over", "group", group, "revision", revision, "zone", zone, "to", order[0].Proxy, "err", roselog.ErrorMessage(err))
-	if err == nil && l.config.Peers != nil {
-		l.config.Peers.NotifyLockReleased(ctx, order[0].Proxy, group)
-	}
-}
-
-// claim claims a lock if its key is still at revision; zero stands for an absent
-// key.
-func (l *LockManager) claim(ctx context.Context, group string, revision, lease int64) {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
-	defer cancel()
-	key := l.currentPrefix() + lockPrefix + group
-	value, err := json.Marshal(lockRecord{Proxy: l.config.Self.Proxy, Incarnation: l.config.Incarnation})
-	if err != nil {
-		return
-	}
-	claimedAt, err := l.config.Store.Apply(ctx, rosemary.Change{
-		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
-		Writes:        []rosemary.Item{{Key: key, Value: value, Lease: lease}},
-	})
-	if err != nil {
-		// A change that got no answer may have taken effect.
-		item, readErr := l.config.Store.Read(ctx, key)
-		if readErr != nil || string(item.Value) != string(value) || item.Lease != lease {
-			klog.V(1).InfoS("duty not claimed", "group", group, "err", roselog.ErrorMessage(err))
-			return
-		}
-		claimedAt = item.Revision
-	}
-	// A restore in between ends the lease.
-	l.syncEpoch()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lease != lease {
-		return
-	}
-	l.held[group] = lockClaim{claimedAt, l.config.Clock.Now()}
-	l.holders[group] = l.config.Self.Proxy
-	klog.InfoS("duty claimed", "group", group, "generation", generation(l.epoch.number, claimedAt), "epoch", l.epoch.number, "revision", claimedAt, "lease", lease)
-}
-
 // Holds reports whether this proxy may replace the primary of a group now, under
 // which generation of the lock, and until when.
 func (l *LockManager) Holds(group string) (int64, time.Time, bool) {
--- /dev/null
+++ b/pkg/rosesupervisor/replace_promote.go
@@ -0,0 +1,154 @@
+package rosesupervisor
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
+	"github.com/rosemarywell/rosemarywell/pkg/roselog"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+// promoteFenced is promoteBest while proxies may hold a primary lease that only the
+// fences keep from being extended. It verifies them, and fences the replicas again
+// while the promotion is under way, as a restart ends a fence.
+func (r *Replacer) promoteFenced(ctx context.Context, view rosefleet.View, term uint64, fenced, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	if err := r.verifyFences(ctx, fenced); err != nil {
+		return err
+	}
+	fenceCtx, stopFencing := context.WithCancel(ctx)
+	var fencing errgroup.Group
+	fencing.Go(func() error {
+		r.keepFenced(fenceCtx, term, fenced)
+		return nil
+	})
+	err := r.promoteBest(ctx, view, candidates, oldPrimary)
+	stopFencing()
+	_ = fencing.Wait()
+	return err
+}
+
+// promoteBest promotes the best of the candidates, or the one of an earlier request
+// whose outcome is unknown.
+func (r *Replacer) promoteBest(ctx context.Context, view rosefleet.View, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	successor, found := chooseSuccessor(view, candidates, oldPrimary)
+	if !found {
+		return trace.CompareFailed("no target to promote")
+	}
+	if slices.ContainsFunc(candidates, func(s rosemary.Status) bool { return s.Target == r.pendingSuccessor }) {
+		successor = r.pendingSuccessor
+	}
+	return r.promote(ctx, successor)
+}
+
+// awaitCatchUp waits for a target that isn't leaving to receive the whole log of
+// the old primary, and returns the statuses with the newest positions.
+func (r *Replacer) awaitCatchUp(ctx context.Context, view rosefleet.View, oldPrimary rosemary.Status, statuses []rosemary.Status) []rosemary.Status {
+	deadline := time.Now().Add(catchUpTimeout)
+	for time.Now().Before(deadline) {
+		for i, s := range statuses {
+			if s.Target != oldPrimary.Target && s.Position.AtLeast(oldPrimary.Position) && !isLeaving(view, s.Target) {
+				return statuses
+			}
+			status, err := r.config.Group.Control(ctx, s.Target, controlTimeout, func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) {
+				return c.Status(deadline)
+			})
+			if err == nil && s.Target != oldPrimary.Target {
+				statuses[i] = status
+			}
+		}
+		if !roseclock.Sleep(ctx, replacerInterval) {
+			break
+		}
+	}
+	return statuses
+}
+
+func isLeaving(view rosefleet.View, id rosemary.TargetID) bool {
+	for _, t := range view.Targets {
+		if t.ID == id {
+			return t.Leaving
+		}
+	}
+	return true
+}
+
+// chooseSuccessor returns the target with the greatest position. One that is
+// leaving, or has just stepped down, is chosen only if no other has as great a
+// position.
+func chooseSuccessor(view rosefleet.View, fenced []rosemary.Status, oldPrimary rosemary.Status) (rosemary.TargetID, bool) {
+	var best rosemary.Status
+	found := false
+	better := func(a, b rosemary.Status) bool {
+		if c := a.Position.Compare(b.Position); c != 0 {
+			return c > 0
+		}
+		return !isLeaving(view, a.Target) && isLeaving(view, b.Target) || b.Target == oldPrimary.Target
+	}
+	for _, s := range fenced {
+		if !found || better(s, best) {
+			best, found = s, true
+		}
+	}
+	return best.Target, found
+}
+
+// errLockLost ends an attempt before it requests a promotion.
+var errLockLost = trace.AccessDenied("failover lock was lost, or claimed anew, since the replacement began; it starts over if the lock is held")
+
+// promote requests the promotion and waits for the successor to become primary.
+// A request whose outcome is unknown is repeated for the same successor, as it
+// may still take effect.
+func (r *Replacer) promote(ctx context.Context, successor rosemary.TargetID) error {
+	var err error
+	for range promoteAttempts {
+		err = r.requestPromotion(ctx, successor)
+		if trace.IsAccessDenied(err) {
+			break
+		}
+		if err == nil || trace.IsCompareFailed(err) {
+			r.pendingSuccessor = ""
+			break
+		}
+		r.pendingSuccessor = successor
+		if !roseclock.Sleep(ctx, replaceRetryDelay) {
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(takeoverTimeout)
+	for time.Now().Before(deadline) && roseclock.Sleep(ctx, replacerInterval) {
+		view := r.config.Group.View()
+		if view.HasPrimaryLease && view.PrimaryLease.Target == successor {
+			klog.InfoS("replacement done", "group", r.config.Group.Name(), "primary", successor, "term", view.PrimaryLease.Term)
+			return nil
+		}
+	}
+	return trace.LimitExceeded("target %s did not become primary in time", successor)
+}
+
+// requestPromotion requests a promotion if this proxy still holds the failover lock
+// under the generation with which the attempt began.
+func (r *Replacer) requestPromotion(ctx context.Context, target rosemary.TargetID) error {
+	generation, until, holds := r.config.Locks.Holds(r.config.Group.Name())
+	if !holds || generation != r.generation {
+		return errLockLost
+	}
+	r.mu.Lock()
+	r.orderedAt = r.config.Clock.Now().Add(promoteTimeout)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := r.config.Promoter.Promote(ctx, r.config.Group.Name(), target, string(r.config.Self), generation)
+	klog.InfoS("promotion ordered", "group", r.config.Group.Name(), "target", target, "generation", generation,
+		"dutyUntil", until.Sub(r.config.Clock.Now()), "err", roselog.ErrorMessage(err))
+	return err
+}
