--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -24,17 +24,8 @@
 	// fetchInterval is how often the whole configuration is read in addition to
 	// the watch, as the store may drop the notification of a change.
 	fetchInterval = 10 * time.Second
-	// targetsInterval is how often a home proxy reads the list of targets while it
-	// can't watch it.
+	// targetsInterval is how often a home proxy reads the list of targets.
 	targetsInterval = 1400 * time.Millisecond
-	// targetsWatchTime is how long a home proxy watches the targets by one call, at
-	// most maxTargetsWatchTime on a large installation. It bounds the delay of a
-	// change if the watch stalls.
-	targetsWatchTime    = 2500 * time.Millisecond
-	maxTargetsWatchTime = 5 * time.Second
-	// targetsRereadInterval is how often a home proxy reads the whole list although it
-	// has seen no change, as the store may drop the notification of one.
-	targetsRereadInterval = 10 * time.Second
 	// storeReadTimeout bounds one read of the targets or of the configuration.
 	storeReadTimeout = 1500 * time.Millisecond
 	// maxUnscaledProxies is the number of proxies up to which they call the store
@@ -102,16 +93,20 @@
 	return time.Duration(float64(interval) * min(max(factor, 1), maxIntervalScale))
 }
 
-// targetsReadInterval returns the interval between reads of the targets without a
-// watch. Once they have been read and the groups are known, it is longer for a proxy
-// that serves no group.
+// targetsReadInterval returns the interval between reads of the targets. Once
+// they have been read and the groups are known, it is longer for a proxy that serves
+// no group.
 func (n *Node) targetsReadInterval() time.Duration {
 	n.mu.Lock()
-	known := n.targetsLoaded && len(n.groups) > 0
-	n.mu.Unlock()
-	if !known || n.servesGroups() {
+	defer n.mu.Unlock()
+	if !n.targetsLoaded || len(n.groups) == 0 {
 		return targetsInterval
 	}
+	for _, g := range n.groups {
+		if g.home || g.servedTemporarily() {
+			return targetsInterval
+		}
+	}
 	return nonHomeIntervalFactor * targetsInterval
 }
 
@@ -140,7 +135,7 @@
 	var regainedAt time.Time
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
-		list, err := n.config.Targets.Targets(callCtx)
+		registrations, unreadable, err := n.config.Targets.Targets(callCtx)
 		cancel()
 		switch {
 		case err != nil && ctx.Err() == nil:
@@ -150,17 +145,17 @@
 			failed = true
 		case err == nil:
 			if failed {
-				klog.InfoS("store regained", "for", "targets", "targets", len(list.Registrations))
+				klog.InfoS("store regained", "for", "targets", "targets", len(registrations))
 				regainedAt = time.Now()
 			}
 			failed = false
 			if newest := n.config.Store.Epoch(); newest != epoch {
 				epoch, regainedAt = newest, time.Now()
 			}
-			n.metrics.setUnreadableEntries(list.Unreadable)
-			n.replaceTargets(list.Registrations, time.Since(regainedAt) < reregistrationTime)
+			n.metrics.setUnreadableEntries(unreadable)
+			n.replaceTargets(registrations, time.Since(regainedAt) < reregistrationTime)
 		}
-		n.awaitTargetsRead(ctx, list.Revision)
+		n.awaitTargetsRead(ctx)
 	}
 }
 
@@ -172,44 +167,15 @@
 	}
 }
 
-// awaitTargetsRead waits until the targets are due to be read again: when they change
-// after a revision, or after an interval if revision is zero or the watch fails.
-func (n *Node) awaitTargetsRead(ctx context.Context, revision int64) {
-	started := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stopWaiting := make(chan struct{})
-	defer close(stopWaiting)
-	go func() {
-		select {
-		case <-n.readTargetsNow:
-			cancel()
-		case <-stopWaiting:
-		}
-	}()
-	for revision > 0 && n.servesGroups() && ctx.Err() == nil && time.Since(started) < targetsRereadInterval {
-		changed, next, err := n.config.Targets.AwaitChange(ctx, revision, min(n.scaleInterval(targetsWatchTime), maxTargetsWatchTime))
-		if changed {
-			return
-		}
-		revision = next
-		if err != nil {
-			revision = 0
-		}
-	}
-	roseclock.Sleep(ctx, n.targetsReadInterval()-time.Since(started))
-}
-
-// servesGroups reports whether this proxy needs the targets of a group.
-func (n *Node) servesGroups() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, g := range n.groups {
-		if g.home || g.servedTemporarily() {
-			return true
-		}
+// awaitTargetsRead waits until the targets are due to be read again.
+func (n *Node) awaitTargetsRead(ctx context.Context) {
+	timer := time.NewTimer(n.targetsReadInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.readTargetsNow:
+	case <-ctx.Done():
 	}
-	return false
 }
 
 // replaceTargets replaces the known targets. With keepNewer, it keeps those that
--- a/pkg/rosemary/statement.go
+++ b/pkg/rosemary/statement.go
@@ -176,21 +176,10 @@
 	Sequence int64
 }
 
-// TargetList is a list of the targets registered with the platform.
-type TargetList struct {
-	Registrations []TargetRegistration
-	// Unreadable is the number of entries that were left out.
-	Unreadable int
-	// Revision is the one to await changes from.
-	Revision int64
-}
-
-// TargetSource lists the targets registered with the platform.
+// TargetSource lists the targets registered with the platform. It skips and
+// counts unreadable entries.
 type TargetSource interface {
-	Targets(ctx context.Context) (TargetList, error)
-	// AwaitChange waits up to wait for a change after a revision. It reports whether
-	// there was one, and returns the revision to continue from.
-	AwaitChange(ctx context.Context, revision int64, wait time.Duration) (bool, int64, error)
+	Targets(ctx context.Context) (registrations []TargetRegistration, unreadable int, err error)
 }
 
 // Route is the configuration of one database.
