lock manager: forget free locks of groups of other homes

Cause: a proxy that saw a free lock and then stopped being a home of its group kept it in its list of free locks, and so listed the store every 200 ms from its turn on. Change: such locks are dropped at each refresh.

--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -273,6 +273,7 @@
 		return false
 	}
 	locks := l.applyListing(prefix, items)
+	l.forgetFreeLocks(groups)
 	if len(groups) > 0 {
 		l.settle(ctx)
 	}
@@ -282,6 +283,14 @@
 	return true
 }
 
+// forgetFreeLocks drops the free locks of groups that this proxy may no longer claim,
+// for which it would list the store again and again.
+func (l *LockManager) forgetFreeLocks(claimable []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.freeSince, func(group string, _ time.Time) bool { return !slices.Contains(claimable, group) })
+}
+
 // staleListSuffices reports whether a stale list of locks and members, which is cheaper,
 // is sufficient: no lock was seen to be free, and no primary needs its holder. A claim
 // based on it can't succeed wrongly, as it names the revision.
