rosenode: log changes of homes and the age of the list of targets

Cause: the logs couldn't tell whether a proxy noticed late that a target leaves, noticed it again after a change of homes, or never read it.

Change: the event "home changed" with the number of homes and the age of the list, that age where the store is lost and regained for targets, "leaving" where an endpoint is added, and a gauge of the age. No logic changes.

Before: no log line names a change of homes.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -135,17 +135,18 @@
 	var regainedAt time.Time
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		sentAt := n.config.Clock.Now()
 		registrations, unreadable, err := n.config.Targets.Targets(callCtx)
 		cancel()
 		switch {
 		case err != nil && ctx.Err() == nil:
 			if !failed {
-				klog.InfoS("store lost", "for", "targets", "err", roselog.ErrorMessage(err))
+				klog.InfoS("store lost", "for", "targets", "targetsAgeMs", n.lockedTargetsAge().Milliseconds(), "err", roselog.ErrorMessage(err))
 			}
 			failed = true
 		case err == nil:
 			if failed {
-				klog.InfoS("store regained", "for", "targets", "targets", len(registrations))
+				klog.InfoS("store regained", "for", "targets", "targets", len(registrations), "targetsAgeMs", n.lockedTargetsAge().Milliseconds())
 				regainedAt = time.Now()
 			}
 			failed = false
@@ -153,7 +154,7 @@
 				epoch, regainedAt = newest, time.Now()
 			}
 			n.metrics.setUnreadableEntries(unreadable)
-			n.replaceTargets(registrations, time.Since(regainedAt) < reregistrationTime)
+			n.replaceTargets(registrations, sentAt, time.Since(regainedAt) < reregistrationTime)
 		}
 		n.awaitTargetsRead(ctx)
 	}
@@ -178,14 +179,30 @@
 	}
 }
 
-// replaceTargets replaces the known targets. With keepNewer, it keeps those that
-// aren't in registrations, and newer registrations than those.
-func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, keepNewer bool) {
+// targetsAge returns how long ago the read of the known targets was sent; zero before
+// the first. The caller holds the lock.
+func (n *Node) targetsAge() time.Duration {
+	if n.targetsReadAt.IsZero() {
+		return 0
+	}
+	return n.config.Clock.Now().Sub(n.targetsReadAt)
+}
+
+func (n *Node) lockedTargetsAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targetsAge()
+}
+
+// replaceTargets replaces the known targets by those of a read sent at sentAt. With
+// keepNewer, it keeps those that aren't in registrations, and newer registrations
+// than those.
+func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, sentAt time.Time, keepNewer bool) {
 	n.mu.Lock()
 	if keepNewer {
 		registrations = mergeRegistrations(n.registrations, registrations)
 	}
-	n.registrations, n.targetsLoaded = registrations, true
+	n.registrations, n.targetsLoaded, n.targetsReadAt = registrations, true, sentAt
 	n.mu.Unlock()
 	n.updateGroups(true)
 }
@@ -242,6 +259,10 @@
 		}
 		wasHome := g.home
 		g.home = isHome(n.config.Self.Proxy, groupHomes)
+		if g.home != wasHome {
+			klog.InfoS("home changed", "group", name, "home", g.home, "homes", len(groupHomes), "members", len(members),
+				"targetsAgeMs", n.targetsAge().Milliseconds())
+		}
 		if g.home && !wasHome && !fromStore {
 			n.requestTargetsRead()
 		}
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -47,6 +47,10 @@
 	m.set.GetOrCreateCounter("rosemary_unreadable_entries").Set(uint64(count))
 }
 
+func (m *Metrics) trackTargetsAge(age func() time.Duration) {
+	m.set.NewGauge("rosemary_targets_age_seconds", func() float64 { return age().Seconds() })
+}
+
 // TrackDroppedLogLines adds a gauge for the number of dropped log lines.
 func (m *Metrics) TrackDroppedLogLines(dropped func() uint64) {
 	m.set.NewGauge("rosemary_log_lines_left_out", func() float64 { return float64(dropped()) })
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -89,6 +89,8 @@
 	groups        map[string]*group
 	registrations []rosemary.TargetRegistration
 	targetsLoaded bool
+	// targetsReadAt is when the read of registrations was sent.
+	targetsReadAt time.Time
 	// context is the context of Run, nil before Run.
 	context    context.Context
 	goroutines sync.WaitGroup
@@ -130,6 +132,7 @@
 
 		readTargetsNow: make(chan struct{}, 1),
 	}
+	n.metrics.trackTargetsAge(n.lockedTargetsAge)
 	n.mesh = n.newMesh()
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
 	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}})
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -159,7 +159,7 @@
 		cancel:         cancel,
 	}
 	g.endpoints[r.ID] = e
-	klog.InfoS("target added", "group", g.config.Name, "target", r.ID, "address", r.Address, "zone", r.Zone, "born", r.Incarnation)
+	klog.InfoS("target added", "group", g.config.Name, "target", r.ID, "address", r.Address, "zone", r.Zone, "born", r.Incarnation, "leaving", r.Leaving)
 	g.tasks.Go(func() { e.runSampler(ctx) })
 	return e
 }
