rosefleet: check a leaving target again after the wait for a connection

What callers would see: a request that waits in a target's queue when the target starts to leave runs there once a connection is free, up to its deadline later.

Cause: whether a target takes new work was checked when the target was chosen, not when the connection was granted.

Change: the check is made again with the connection in hand, beside the one of the primary's term; the connection goes back to the pool and a target is chosen anew.

--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -204,7 +204,7 @@
 		lease.pooled = c
 	}
 	c.sessionID = request.SessionID
-	if term > 0 && !lease.StillPrimary() {
+	if !lease.mayBegin() {
 		e.pool.put(c)
 		return nil, nil
 	}
@@ -255,6 +255,21 @@
 // SetSessionState sets the state that the next user of the connection will find.
 func (l *ConnLease) SetSessionState(state any) { l.pooled.sessionState = state }
 
+// mayBegin reports whether new work may still begin on the connection, for which the
+// request may have waited.
+func (l *ConnLease) mayBegin() bool {
+	if l.term > 0 && !l.StillPrimary() {
+		return false
+	}
+	g := l.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.term > 0 {
+		return !l.endpoint.pastLeavingGrace(g.config.Clock.Now())
+	}
+	return !l.endpoint.leaving
+}
+
 // StillPrimary reports whether the target is still the primary of the term in which
 // the connection was acquired. If so, no answer received so far came from a primary
 // that had already been replaced.
--- a/pkg/rosefleet/shared_test.go
+++ b/pkg/rosefleet/shared_test.go
@@ -56,23 +56,28 @@
 	return statusConn{target.ID, time.Duration(d)}, nil
 }
 
+// startGroup returns a group with that many targets, of which t-1 is the primary, and
+// their registrations.
+func startGroup(t *testing.T, targets int, limits rosefleet.ConnLimits) (*rosefleet.Group, []rosemary.TargetRegistration) {
+	g := rosefleet.NewGroup(rosefleet.Config{
+		Name: "g", Zone: "z", Dialer: statusDialer(2 * time.Millisecond), Clock: roseclock.Runtime{},
+	})
+	t.Cleanup(g.Close)
+	var registrations []rosemary.TargetRegistration
+	for i := 1; i <= targets; i++ {
+		target := rosemary.Target{ID: rosemary.TargetID(fmt.Sprint("t-", i)), Zone: "z"}
+		registrations = append(registrations, rosemary.TargetRegistration{Target: target, Group: "g", Slots: 3, LastReadyAt: time.Now()})
+	}
+	g.Update(registrations, limits)
+	return g, registrations
+}
+
 // A proxy that gets statuses from another one must sample by itself before its
 // primary lease ends, whenever the other one stops sharing.
 func TestPrimaryStaysValidWhenSharedStatusesStop(t *testing.T) {
 	for stopsAt := 2 * time.Second; stopsAt < 2300*time.Millisecond; stopsAt += 10 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
-			g := rosefleet.NewGroup(rosefleet.Config{
-				Name: "g", Zone: "z", Dialer: statusDialer(2 * time.Millisecond), Clock: roseclock.Runtime{},
-			})
-			defer g.Close()
-			var registrations []rosemary.TargetRegistration
-			var ids []rosemary.TargetID
-			for i := 1; i <= 3; i++ {
-				id := rosemary.TargetID(fmt.Sprint("t-", i))
-				ids = append(ids, id)
-				registrations = append(registrations, rosemary.TargetRegistration{Target: rosemary.Target{ID: id, Zone: "z"}, Group: "g", Slots: 3})
-			}
-			g.Update(registrations, rosefleet.ConnLimits{Share: 4, Max: 4})
+			g, registrations := startGroup(t, 3, rosefleet.ConnLimits{Share: 4, Max: 4})
 			started := time.Now()
 			for time.Since(started) < 4*time.Second {
 				time.Sleep(10 * time.Millisecond)
@@ -81,8 +86,8 @@
 					// The other proxy's sample may be one sample interval old.
 					sentAt := time.Now().Add(-300 * time.Millisecond)
 					var shared []rosegroup.SharedStatus
-					for _, id := range ids {
-						shared = append(shared, rosegroup.SharedStatus{Status: statusOf(id), SentAt: sentAt, UnfencedSince: started})
+					for _, r := range registrations {
+						shared = append(shared, rosegroup.SharedStatus{Status: statusOf(r.ID), SentAt: sentAt, UnfencedSince: started})
 					}
 					g.ObserveShared(shared)
 				}
