--- /dev/null
+++ b/internal/rosenode/targets.go
@@ -0,0 +1,156 @@
+package rosenode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roselog"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+const (
+	// targetsInterval is how often a home proxy reads the list of targets.
+	targetsInterval = 1400 * time.Millisecond
+	// nonHomeIntervalFactor lengthens targetsInterval for a proxy that is home
+	// to no group, as it needs the targets only when no home proxy is reachable.
+	nonHomeIntervalFactor = 6
+	// reregistrationTime is how long targets that are missing from the list are
+	// kept after an outage of the store, which gives them time to register again.
+	reregistrationTime = 2500 * time.Millisecond
+)
+
+// targetsReadInterval returns the interval between reads of the targets. Once
+// they have been read and the groups are known, it is longer for a proxy that serves
+// no group.
+func (n *Node) targetsReadInterval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.targetsLoaded || len(n.groups) == 0 {
+		return targetsInterval
+	}
+	for _, g := range n.groups {
+		if g.home || g.servedTemporarily() {
+			return targetsInterval
+		}
+	}
+	return nonHomeIntervalFactor * targetsInterval
+}
+
+// followTargets updates the groups with the targets registered in the store.
+func (n *Node) followTargets(ctx context.Context) {
+	failed := false
+	epoch := n.config.Store.Epoch()
+	var regainedAt time.Time
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		sentAt := n.config.Clock.Now()
+		registrations, unreadable, err := n.config.Targets.Targets(callCtx)
+		cancel()
+		switch {
+		case err != nil && ctx.Err() == nil:
+			if !failed {
+				klog.InfoS("store lost", "for", "targets", "targetsAgeMs", n.lockedTargetsAge().Milliseconds(), "err", roselog.ErrorMessage(err))
+			}
+			failed = true
+		case err == nil:
+			if failed {
+				klog.InfoS("store regained", "for", "targets", "targets", len(registrations), "targetsAgeMs", n.lockedTargetsAge().Milliseconds())
+				regainedAt = time.Now()
+			}
+			failed = false
+			if newest := n.config.Store.Epoch(); newest != epoch {
+				epoch, regainedAt = newest, time.Now()
+			}
+			n.metrics.setUnreadableEntries(unreadable)
+			n.replaceTargets(registrations, sentAt, time.Since(regainedAt) < reregistrationTime)
+		}
+		n.awaitTargetsRead(ctx)
+	}
+}
+
+// requestTargetsRead has the targets read at once, as those known may be outdated.
+func (n *Node) requestTargetsRead() {
+	select {
+	case n.readTargetsNow <- struct{}{}:
+	default:
+	}
+}
+
+// awaitTargetsRead waits until the targets are due to be read again.
+func (n *Node) awaitTargetsRead(ctx context.Context) {
+	timer := time.NewTimer(n.targetsReadInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.readTargetsNow:
+	case <-ctx.Done():
+	}
+}
+
+// targetsAge returns how long ago the read of the known targets was sent; zero before
+// the first. The caller holds the lock.
+func (n *Node) targetsAge() time.Duration {
+	if n.targetsReadAt.IsZero() {
+		return 0
+	}
+	return n.config.Clock.Now().Sub(n.targetsReadAt)
+}
+
+func (n *Node) lockedTargetsAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targetsAge()
+}
+
+// replaceTargets replaces the known targets by those of a read sent at sentAt. With
+// keepNewer, it keeps those that aren't in registrations, and newer registrations
+// than those.
+func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, sentAt time.Time, keepNewer bool) {
+	n.mu.Lock()
+	registrations = withLastReady(n.registrations, registrations, sentAt)
+	if keepNewer {
+		registrations = mergeRegistrations(n.registrations, registrations)
+	}
+	n.registrations, n.targetsLoaded, n.targetsReadAt = registrations, true, sentAt
+	n.mu.Unlock()
+	n.updateGroups(true)
+}
+
+// withLastReady returns the registrations of a read sent at sentAt with the times at
+// which their targets were last known not to be leaving. A target that is leaving
+// keeps the time of its known registration.
+func withLastReady(known, read []rosemary.TargetRegistration, sentAt time.Time) []rosemary.TargetRegistration {
+	stamped := slices.Clone(read)
+	for i, r := range stamped {
+		if !r.Leaving {
+			stamped[i].LastReadyAt = sentAt
+			continue
+		}
+		for _, k := range known {
+			if k.ID == r.ID && k.Incarnation == r.Incarnation {
+				stamped[i].LastReadyAt = k.LastReadyAt
+			}
+		}
+	}
+	return stamped
+}
+
+// mergeRegistrations returns read, with the known registrations that are missing in
+// it or were made later by the same incarnation of a target: a store that has been
+// away or was restored may lack them for a while.
+func mergeRegistrations(known, read []rosemary.TargetRegistration) []rosemary.TargetRegistration {
+	merged := slices.Clone(read)
+	for _, k := range known {
+		i := slices.IndexFunc(merged, func(r rosemary.TargetRegistration) bool { return r.ID == k.ID })
+		switch {
+		case i < 0:
+			merged = append(merged, k)
+		case merged[i].Incarnation == k.Incarnation && merged[i].Sequence < k.Sequence:
+			merged[i] = k
+		}
+	}
+	return merged
+}
