rosenode: learn targets from peers if the store doesn't tell

What callers would see: a proxy that the store refuses alone, while it serves others, goes on using a target that has said it leaves until that target exits.

A list counts from when its read was sent to the store, and never replaces a newer one.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -162,7 +162,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -179,6 +179,8 @@
 		return rosewire.Reply{Yes: true, Known: true}
 	case rosepeer.AboutTargetStatuses:
 		return rosewire.Reply{Yes: true, Known: true, Facts: n.recentStatuses()}
+	case rosepeer.AboutTargets:
+		return n.describeTargets(question)
 	}
 	n.mu.Lock()
 	g := n.groups[question.Group]
--- a/internal/rosenode/targets.go
+++ b/internal/rosenode/targets.go
@@ -105,37 +105,49 @@
 	return n.targetsAge()
 }
 
-// replaceTargets replaces the known targets by those of a read sent at sentAt. With
-// keepNewer, it keeps those that aren't in registrations, and newer registrations
-// than those.
-func (n *Node) replaceTargets(registrations []rosemary.TargetRegistration, sentAt time.Time, keepNewer bool) {
+// replaceTargets replaces the known targets by those of a read sent at readAt, unless
+// a newer read is known. With keepNewer, it keeps those that aren't in read, and
+// newer registrations than those.
+func (n *Node) replaceTargets(read []rosemary.TargetRegistration, readAt time.Time, keepNewer bool) {
+	read = withReadyTimes(read, readAt)
 	n.mu.Lock()
-	registrations = withLastReady(n.registrations, registrations, sentAt)
 	if keepNewer {
-		registrations = mergeRegistrations(n.registrations, registrations)
+		read = mergeRegistrations(n.registrations, read)
 	}
-	n.registrations, n.targetsLoaded, n.targetsReadAt = registrations, true, sentAt
+	n.registrations, n.targetsReadAt = newerTargets(n.registrations, n.targetsReadAt, read, readAt)
+	n.targetsLoaded = true
 	n.mu.Unlock()
 	n.updateGroups(true)
 }
 
-// withLastReady returns the registrations of a read sent at sentAt with the times at
-// which their targets were last known not to be leaving. A target that is leaving
-// keeps the time of its known registration.
-func withLastReady(known, read []rosemary.TargetRegistration, sentAt time.Time) []rosemary.TargetRegistration {
+// withReadyTimes returns the registrations of a read sent at readAt, with that time for
+// the targets that weren't leaving.
+func withReadyTimes(read []rosemary.TargetRegistration, readAt time.Time) []rosemary.TargetRegistration {
 	stamped := slices.Clone(read)
-	for i, r := range stamped {
-		if !r.Leaving {
-			stamped[i].LastReadyAt = sentAt
-			continue
+	for i := range stamped {
+		if !stamped[i].Leaving {
+			stamped[i].LastReadyAt = readAt
 		}
-		for _, k := range known {
-			if k.ID == r.ID && k.Incarnation == r.Incarnation {
-				stamped[i].LastReadyAt = k.LastReadyAt
+	}
+	return stamped
+}
+
+// newerTargets returns the newer one of two reads and when it was sent. Its targets
+// have the later of the times at which either read knew them not to be leaving.
+func newerTargets(known []rosemary.TargetRegistration, knownAt time.Time, read []rosemary.TargetRegistration, readAt time.Time) ([]rosemary.TargetRegistration, time.Time) {
+	newer, older, newerAt := read, known, readAt
+	if readAt.Before(knownAt) {
+		newer, older, newerAt = known, read, knownAt
+	}
+	merged := slices.Clone(newer)
+	for i, m := range merged {
+		for _, o := range older {
+			if o.ID == m.ID && o.Incarnation == m.Incarnation && o.LastReadyAt.After(m.LastReadyAt) {
+				merged[i].LastReadyAt = o.LastReadyAt
 			}
 		}
 	}
-	return stamped
+	return merged, newerAt
 }
 
 // mergeRegistrations returns read, with the known registrations that are missing in
--- a/internal/rosenode/targets_test.go
+++ b/internal/rosenode/targets_test.go
@@ -62,8 +62,22 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			read := []rosemary.TargetRegistration{test.read}
-			qt.Check(t, withLastReady(known, read, readAt), qt.DeepEquals, []rosemary.TargetRegistration{test.want})
+			read := withReadyTimes([]rosemary.TargetRegistration{test.read}, readAt)
+			got, gotAt := newerTargets(known, start, read, readAt)
+			qt.Check(t, got, qt.DeepEquals, []rosemary.TargetRegistration{test.want})
+			qt.Check(t, gotAt, qt.Equals, readAt)
 		})
 	}
 }
+
+func TestOlderReadDoesNotReplaceANewerOne(t *testing.T) {
+	start := time.Unix(1000, 0)
+	registration := func(leaving bool, readyAt time.Time) rosemary.TargetRegistration {
+		return rosemary.TargetRegistration{Target: rosemary.Target{ID: "a"}, Leaving: leaving, LastReadyAt: readyAt}
+	}
+	known := []rosemary.TargetRegistration{registration(true, start)}
+	older := []rosemary.TargetRegistration{registration(false, start.Add(time.Second))}
+	got, gotAt := newerTargets(known, start.Add(2*time.Second), older, start.Add(time.Second))
+	qt.Check(t, got, qt.DeepEquals, []rosemary.TargetRegistration{registration(true, start.Add(time.Second))})
+	qt.Check(t, gotAt, qt.Equals, start.Add(2*time.Second))
+}
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -23,6 +23,9 @@
 	// AboutTargetStatuses asks for the target statuses that the peer has
 	// sampled.
 	AboutTargetStatuses = "Facts"
+	// AboutTargets asks for the registered targets that the peer knows, if they were read
+	// from the store later than those of the sender.
+	AboutTargets = "Targets"
 	// AboutLockReleased tells the peer that the sender has released a lock which the
 	// peer is the first to claim.
 	AboutLockReleased = "LockReleased"
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -232,9 +232,14 @@
 	// for a while), LockReleased (claim the lock of Group, which is free), Guarantee
 	// (for how long is the primary of Term not replaced), LastPrimary (which was the
 	// newest primary that the peer knew), ZoneSuspicion (check whether the zone is
-	// cut off) or Facts (send the sampled target statuses).
+	// cut off), Targets (send the registered targets) or Facts (send the sampled
+	// target statuses).
 	About string `cbor:"About"`
 
+	// AgeMs is the age of the list of targets that the sender has; a Question about
+	// Targets with it is only answered with a newer one.
+	AgeMs *uint64 `cbor:"AgeMs,omitempty"`
+
 	// Group is the group asked about; empty if the question concerns none.
 	Group string `cbor:"Group"`
 
@@ -267,8 +272,46 @@
 	RetryAfterMs *uint64 `cbor:"RetryAfterMs,omitempty"`
 }
 
+// Registration is the registration of one target as the sender knows it.
+type Registration struct {
+	// Address is the target's address.
+	Address string `cbor:"Address"`
+
+	// Group is the group of the target.
+	Group string `cbor:"Group"`
+
+	// Incarnation differs after a replacement of the server under the same
+	// identifier.
+	Incarnation int64 `cbor:"Incarnation"`
+
+	// Leaving is set if the target accepts no new work.
+	Leaving bool `cbor:"Leaving"`
+
+	// Primary is set if the target registered as primary.
+	Primary bool `cbor:"Primary"`
+
+	// ReadyMs is the time since the sender last knew that the target wasn't leaving;
+	// absent if it never did.
+	ReadyMs *uint64 `cbor:"ReadyMs,omitempty"`
+
+	// Sequence increases with each update of the registration.
+	Sequence int64 `cbor:"Sequence"`
+
+	// Slots is the number of statements that the target runs at once.
+	Slots uint64 `cbor:"Slots"`
+
+	// Target identifies the target.
+	Target string `cbor:"Target"`
+
+	// Zone is the target's availability zone.
+	Zone string `cbor:"Zone"`
+}
+
 // Reply answers a Question.
 type Reply struct {
+	// AgeMs is the time since the read of Targets was sent to the store.
+	AgeMs *uint64 `cbor:"AgeMs,omitempty"`
+
 	// Facts are the target statuses that a Question about Facts or LastPrimary asked
 	// for.
 	Facts []Fact `cbor:"Facts,omitempty"`
@@ -284,6 +327,9 @@
 	// Number is the number of the Question.
 	Number uint64 `cbor:"Number"`
 
+	// Targets are the registered targets that a Question about Targets asked for.
+	Targets []Registration `cbor:"Targets,omitempty"`
+
 	// Yes is set if the peer can reach the target or did what was asked.
 	Yes bool `cbor:"Yes"`
 }
