rosefleet: let a leaving primary serve until shortly before the stated time

Cause: a leaving primary got new work for 4 s, a constant that knew nothing of the time which the operators allow (`drain_ms`: 7 s on the first sites, 10 s on the grown ones, unknown elsewhere). Counted from when it was last ready, that is 2.6 to 4 s after its report, while a lost lock holder is replaced after 8 s.

Change: the setting Limits.LeavingTime, filled in from the platform's bound, 7 s by default; new work ends 2 s before it, or at half of a time below 4 s.

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -92,6 +92,7 @@
 		},
 		Incarnation:       strconv.FormatInt(time.Now().UnixNano(), 36),
 		FirstStart:        settings.FirstStart,
+		LeavingTime:       time.Duration(settings.Limits.LeavingTime),
 		Store:             store,
 		Targets:           roseplatform.TargetRegistry{Store: store},
 		Configurations:    roseplatform.ConfigurationStore{Store: store},
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -171,7 +171,7 @@
 	g := &group{
 		Group: rosefleet.NewGroup(rosefleet.Config{
 			Name: name, Zone: n.config.Self.Zone, Dialer: n.config.TargetDialer, Clock: n.config.Clock,
-			AllowPrimary: n.allowPrimary, ZonePartitioned: n.zonePartitioned.Load,
+			LeavingTime: n.config.LeavingTime, AllowPrimary: n.allowPrimary, ZonePartitioned: n.zonePartitioned.Load,
 		}),
 		cancel: cancel,
 	}
--- a/internal/rosesettings/platform.go
+++ b/internal/rosesettings/platform.go
@@ -63,10 +63,15 @@
 	Descriptors int
 	// GraceTime is how long a shutdown may take.
 	GraceTime rosebundle.Duration
+	// LeavingTime is how long after its report a leaving target may get new work.
+	LeavingTime rosebundle.Duration
 }
 
-// defaultGraceTime is the GraceTime that applies if the file sets none.
-const defaultGraceTime = rosebundle.Duration(6 * time.Second)
+// Values that apply if the file sets none.
+const (
+	defaultGraceTime   = rosebundle.Duration(6 * time.Second)
+	defaultLeavingTime = rosebundle.Duration(7 * time.Second)
+)
 
 // LoadPlatform reads and checks a settings file. The error is a
 // *rosebundle.ValidationError that lists every fault, or the error from reading
@@ -82,7 +87,7 @@
 // ParsePlatform reads and checks the text of a settings file. Unknown keys are
 // ignored, as the platform's template may be newer than this program.
 func ParsePlatform(text string) (PlatformSettings, error) {
-	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime}}
+	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime, LeavingTime: defaultLeavingTime}}
 	if _, err := toml.Decode(text, &v); err != nil {
 		return v, &rosebundle.ValidationError{Faults: []rosebundle.Fault{
 			{Key: "(file)", Problem: err.Error(), Remedy: "correct the TOML"},
@@ -119,5 +124,6 @@
 	add(v.Limits.CoreShare < 0, "Limits.CoreShare", "it is negative", "set it to the share of a core that the process has, or 0")
 	add(v.Limits.MemoryMb < 0, "Limits.MemoryMb", "it is negative", "set it to the memory of the process in MiB, or 0")
 	add(v.Limits.GraceTime <= 0, "Limits.GraceTime", "it is not positive", "set it to the time between SIGTERM and SIGKILL")
+	add(v.Limits.LeavingTime <= 0, "Limits.LeavingTime", "it is not positive", "set it to the time for which a leaving target may get new work")
 	return faults
 }
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -27,6 +27,9 @@
 	Dialer rosemary.TargetDialer
 	// Clock must count suspended time.
 	Clock roseclock.Clock
+	// LeavingTime is how long after its report a leaving target may get new work, as
+	// a primary that no other target has succeeded.
+	LeavingTime time.Duration
 	// AllowPrimary reports whether this proxy may rely on a primary at all;
 	// nil means always.
 	AllowPrimary func() bool
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -26,9 +26,10 @@
 	maxLagAge = time.Second
 	// chooseInterval is the longest wait before a target is chosen again.
 	chooseInterval = 25 * time.Millisecond
-	// leavingGrace is how long a primary still gets new work after it was last known
-	// not to be leaving, while no other target has taken over.
-	leavingGrace = 4 * time.Second
+	// leavingMargin is how long before the end of Config.LeavingTime a leaving primary
+	// gets no new work any more, so that none arrives later. Of a short time it is
+	// half.
+	leavingMargin = 2 * time.Second
 	// responseTimeWeight is the weight of a new response time in the moving
 	// average.
 	responseTimeWeight = 0.1
@@ -139,9 +140,10 @@
 }
 
 // pastLeavingGrace reports whether a leaving target gets no new work, whatever its
-// role.
+// role. Its report came after it was last known to be ready.
 func (e *endpoint) pastLeavingGrace(now time.Time) bool {
-	return e.leaving && now.Sub(e.lastReadyAt) > leavingGrace
+	limit := e.group.config.LeavingTime
+	return e.leaving && now.Sub(e.lastReadyAt) > limit-min(leavingMargin, limit/2)
 }
 
 // cost reports whether e can serve the request, and estimates its response time.
