lock manager: list afresh when told that a lock is free

What callers would see: after a lock is handed over, nobody may replace the group's primary for up to 4 s.

The proxy that is told lists the locks from a copy that may be seconds old, doesn't see the lock free, and looks again 2 s later.

Change: RefreshNow makes the next listing a fresh one, also after one that fails. The simulated store's stale reads return what it contained some time ago; the histories run with 3 s.

--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -125,6 +125,8 @@
 	refreshNow chan struct{}
 
 	mu sync.Mutex
+	// listFresh is set while the next listing has to be a fresh one.
+	listFresh bool
 	// epoch is the store's epoch that the fields below belong to.
 	epoch    epochState
 	lease    int64
@@ -187,9 +189,11 @@
 	}
 }
 
-// RefreshNow has the lease renewed and free locks claimed at once, as another call
-// has found that the store was restored.
+// RefreshNow has the lease renewed and free locks claimed at once, as a lock was
+// released, or another call has found that the store was restored. What it is told
+// may be missing in a stale list.
 func (l *LockManager) RefreshNow() {
+	l.requireFreshList()
 	select {
 	case l.refreshNow <- struct{}{}:
 	default:
@@ -267,9 +271,13 @@
 	groups := l.config.Groups()
 	listing, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	prefix := l.currentPrefix()
-	items, _, err := l.config.Store.List(listing, prefix, l.staleListSuffices(groups))
+	required := l.takeFreshListRequirement()
+	items, _, err := l.config.Store.List(listing, prefix, !required && l.staleListSuffices(groups))
 	cancel()
 	if err != nil || l.syncEpoch() {
+		if required {
+			l.requireFreshList()
+		}
 		return false
 	}
 	locks := l.applyListing(prefix, items)
@@ -291,6 +299,22 @@
 	maps.DeleteFunc(l.freeSince, func(group string, _ time.Time) bool { return !slices.Contains(claimable, group) })
 }
 
+// requireFreshList makes the next listing a fresh one.
+func (l *LockManager) requireFreshList() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listFresh = true
+}
+
+// takeFreshListRequirement reports whether this listing has to be a fresh one.
+func (l *LockManager) takeFreshListRequirement() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	required := l.listFresh
+	l.listFresh = false
+	return required
+}
+
 // staleListSuffices reports whether a stale list of locks and members, which is cheaper,
 // is sufficient: no lock was seen to be free, and no primary needs its holder. A claim
 // based on it can't succeed wrongly, as it names the revision.
