lock manager: require the promises of linked proxies that aren't listed

What callers would see: two holders of one lock, and two promotions.

A holder that the store refuses keeps its locks while all registered proxies promise to claim none. It knows the registered ones from a list that may be seconds old, so one that has just registered isn't asked to promise, reaches the store, and claims the lock when the holder's lease ends.

Change: proxies that are linked have to promise too. A proxy that registers links itself to those that it finds registered.

A proxy that has just registered and is cut off from the holder alone still isn't known to it.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -220,10 +220,10 @@
 }
 
 // RequestAbstention asks all connected peers not to claim failover locks for a while,
-// and returns those that promised it.
-func (p peers) RequestAbstention(ctx context.Context) []rosemary.ProxyID {
-	replies, _ := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain})
-	return agreedPeers(replies)
+// and returns those that promised it, and all that were asked.
+func (p peers) RequestAbstention(ctx context.Context) (promised, asked []rosemary.ProxyID) {
+	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain})
+	return agreedPeers(replies), asked
 }
 
 // NotifyLockReleased tells a peer to claim the lock of a group now.
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -105,9 +105,9 @@
 
 // Peers sends requests about locks to the other proxies.
 type Peers interface {
-	// RequestAbstention asks all not to claim locks for abstainDuration, and
-	// returns those that promised it.
-	RequestAbstention(ctx context.Context) []rosemary.ProxyID
+	// RequestAbstention asks all not to claim locks for abstainDuration. It returns
+	// those that promised it, and all that were asked.
+	RequestAbstention(ctx context.Context) (promised, asked []rosemary.ProxyID)
 	// NotifyLockReleased tells a proxy that a group's lock is free, so that it claims
 	// the lock without waiting for its next refresh.
 	NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string)
@@ -327,24 +327,30 @@
 }
 
 // requestAbstention extends the time for which this proxy holds its locks while
-// the store can't be reached: if every registered proxy promises to claim none,
-// the locks stay with this proxy even if its lease expires in the store. A proxy
-// that reaches the store refuses.
+// the store can't be reached: if every proxy that is registered or linked promises
+// to claim none, the locks stay with this proxy even if its lease expires in the
+// store. A proxy that reaches the store refuses. One that has registered since the
+// members were listed is linked.
 func (l *LockManager) requestAbstention(ctx context.Context) {
 	l.mu.Lock()
-	required := l.config.Peers != nil && l.storeFailing && len(l.held) > 0
+	useful := l.config.Peers != nil && l.storeFailing && len(l.held) > 0
 	members := l.members
 	l.mu.Unlock()
-	if !required {
+	if !useful {
 		return
 	}
 	sentAt := l.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, abstainTimeout)
 	defer cancel()
-	promised := l.config.Peers.RequestAbstention(ctx)
+	promised, required := l.config.Peers.RequestAbstention(ctx)
 	for _, m := range members {
-		if m.Proxy != l.config.Self.Proxy && !slices.Contains(promised, m.Proxy) {
-			klog.V(1).InfoS("duty not extended", "withoutThePromiseOf", m.Proxy)
+		if m.Proxy != l.config.Self.Proxy {
+			required = append(required, m.Proxy)
+		}
+	}
+	for _, proxy := range required {
+		if !slices.Contains(promised, proxy) {
+			klog.V(1).InfoS("duty not extended", "withoutThePromiseOf", proxy)
 			return
 		}
 	}
