rosenode: one default for the leaving time, and a name for what is lacking

Cause: reading the diff anew: the default of 7 s stood three times, and the kinds of what a proxy asks its peers for were called questions.

Change: the default stands in rosefleet; targetsKnowledge names what a proxy lacks. Wording and places only.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -31,7 +31,7 @@
 	// FirstStart is set if the whole system starts for the first time.
 	FirstStart bool
 	// LeavingTime is how long after its report a leaving target may get new work;
-	// DefaultLeavingTime if zero.
+	// rosefleet.DefaultLeavingTime if zero.
 	LeavingTime    time.Duration
 	Store          rosemary.MetadataStore
 	Targets        rosemary.TargetSource
@@ -50,9 +50,6 @@
 	OnZonePartitioned func(partitioned bool)
 }
 
-// DefaultLeavingTime is how long after its report a leaving target may get new work.
-const DefaultLeavingTime = 7 * time.Second
-
 // Omissions are mechanisms that tests and experiments leave out.
 type Omissions struct {
 	// Guarantees of lock holders keep primary leases valid.
@@ -126,9 +123,6 @@
 
 // New returns a node; Run starts it.
 func New(config Config) *Node {
-	if config.LeavingTime == 0 {
-		config.LeavingTime = DefaultLeavingTime
-	}
 	if config.OnZonePartitioned == nil {
 		config.OnZonePartitioned = func(bool) {}
 	}
--- a/internal/rosenode/targets_peer.go
+++ b/internal/rosenode/targets_peer.go
@@ -24,15 +24,14 @@
 	peerTargetsTimeout = 300 * time.Millisecond
 )
 
-// targetsQuestion is what a proxy needs to learn of its peers about targets.
-type targetsQuestion int
+// targetsKnowledge is what a proxy lacks about the targets of the groups that it serves.
+type targetsKnowledge int
 
 const (
-	// targetsKnown needs nothing.
-	targetsKnown targetsQuestion = iota
-	// targetsOutdated needs a newer list.
+	targetsKnown targetsKnowledge = iota
+	// targetsOutdated lacks a recent list.
 	targetsOutdated
-	// readyTimesUnknown needs to learn when a leaving target was last ready.
+	// readyTimesUnknown lacks the time when a leaving target was last ready.
 	readyTimesUnknown
 )
 
@@ -41,8 +40,8 @@
 // ready.
 func (n *Node) followPeerTargets(ctx context.Context) {
 	for roseclock.Sleep(ctx, peerTargetsInterval) {
-		need := n.targetsNeed()
-		if need == targetsKnown {
+		knowledge := n.targetsKnowledge()
+		if knowledge == targetsKnown {
 			continue
 		}
 		var others []rosemary.Member
@@ -52,13 +51,13 @@
 			}
 		}
 		if len(others) > 0 {
-			n.pullTargets(ctx, others[rand.IntN(len(others))].Proxy, need)
+			n.pullTargets(ctx, others[rand.IntN(len(others))].Proxy, knowledge == targetsOutdated)
 		}
 	}
 }
 
-// targetsNeed returns what this proxy needs to learn of its peers.
-func (n *Node) targetsNeed() targetsQuestion {
+// targetsKnowledge returns what this proxy lacks about the targets.
+func (n *Node) targetsKnowledge() targetsKnowledge {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	served := make(map[string]bool)
@@ -81,12 +80,13 @@
 	return targetsKnown
 }
 
-// pullTargets asks a peer for its targets, and takes over what is newer. Ages count
-// from before the question was sent, so that nothing looks newer than it is.
-func (n *Node) pullTargets(ctx context.Context, from rosemary.ProxyID, need targetsQuestion) {
+// pullTargets asks a peer for its targets, or with onlyNewer for those of a list newer
+// than its own, and takes over what is newer. Ages count from before the question was
+// sent, so that nothing looks newer than it is.
+func (n *Node) pullTargets(ctx context.Context, from rosemary.ProxyID, onlyNewer bool) {
 	question := rosewire.Question{About: rosepeer.AboutTargets}
 	askedAt := n.config.Clock.Now()
-	if need == targetsOutdated {
+	if onlyNewer {
 		age := uint64(n.lockedTargetsAge().Milliseconds())
 		question.AgeMs = &age
 	}
--- a/internal/rosesettings/platform.go
+++ b/internal/rosesettings/platform.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 )
 
 // PlatformSettings holds the settings of a process whose targets and
@@ -70,7 +71,7 @@
 // Values that apply if the file sets none.
 const (
 	defaultGraceTime   = rosebundle.Duration(6 * time.Second)
-	defaultLeavingTime = rosebundle.Duration(7 * time.Second)
+	defaultLeavingTime = rosebundle.Duration(rosefleet.DefaultLeavingTime)
 )
 
 // LoadPlatform reads and checks a settings file. The error is a
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -28,7 +28,7 @@
 	// Clock must count suspended time.
 	Clock roseclock.Clock
 	// LeavingTime is how long after its report a leaving target may get new work, as
-	// a primary that no other target has succeeded.
+	// a primary that no other target has succeeded; DefaultLeavingTime if zero.
 	LeavingTime time.Duration
 	// AllowPrimary reports whether this proxy may rely on a primary at all;
 	// nil means always.
@@ -39,6 +39,9 @@
 	ZonePartitioned func() bool
 }
 
+// DefaultLeavingTime is how long after its report a leaving target may get new work.
+const DefaultLeavingTime = 7 * time.Second
+
 // Group manages the targets of one database group. Its methods may be called concurrently.
 type Group struct {
 	config Config
@@ -87,6 +90,9 @@
 
 // NewGroup returns a group without targets.
 func NewGroup(config Config) *Group {
+	if config.LeavingTime == 0 {
+		config.LeavingTime = DefaultLeavingTime
+	}
 	if config.AllowPrimary == nil {
 		config.AllowPrimary = func() bool { return true }
 	}
--- a/pkg/rosefleet/shared_test.go
+++ b/pkg/rosefleet/shared_test.go
@@ -61,7 +61,6 @@
 func startGroup(t *testing.T, targets int, limits rosefleet.ConnLimits) (*rosefleet.Group, []rosemary.TargetRegistration) {
 	g := rosefleet.NewGroup(rosefleet.Config{
 		Name: "g", Zone: "z", Dialer: statusDialer(2 * time.Millisecond), Clock: roseclock.Runtime{},
-		LeavingTime: 7 * time.Second,
 	})
 	t.Cleanup(g.Close)
 	var registrations []rosemary.TargetRegistration
