--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
-.PHONY: test lint build bench fuzz
+.PHONY: test test-long lint build bench fuzz
 
 # Packages that run concurrently are tested under the race detector. The time-out
 # allows for a busy machine.
 test:
-	go test -race -timeout 40m ./...
+	go test -race -short -timeout 40m ./...
+
+# The histories in their long form, for a machine with nothing else to do.
+test-long:
+	go test -race -timeout 90m ./...
 
 lint:
 	test -z "$$(go tool gofumpt -l .)"
