rosenode: keep a peer's ready times as it knows them

A list pulled from a peer was stamped like a read of one's own: a target that the peer keeps though its last read lacked it, as after an outage of the store, counted as ready at that read.

Change: only reads of the store are stamped; a pulled list keeps the peer's times. targetsAge and targetsAgeLocked name which one takes the lock.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -139,7 +139,7 @@
 		g.home = isHome(n.config.Self.Proxy, groupHomes)
 		if g.home != wasHome {
 			klog.InfoS("home changed", "group", name, "home", g.home, "homes", len(groupHomes), "members", len(members),
-				"targetsAgeMs", n.targetsAge().Milliseconds())
+				"targetsAgeMs", n.targetsAgeLocked().Milliseconds())
 		}
 		if g.home && !wasHome && !fromStore {
 			n.requestTargetsRead()
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -135,7 +135,7 @@
 
 		readTargetsNow: make(chan struct{}, 1),
 	}
-	n.metrics.trackTargetsAge(n.lockedTargetsAge)
+	n.metrics.trackTargetsAge(n.targetsAge)
 	n.mesh = n.newMesh()
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
 	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}})
--- a/internal/rosenode/targets.go
+++ b/internal/rosenode/targets.go
@@ -52,12 +52,12 @@
 		switch {
 		case err != nil && ctx.Err() == nil:
 			if !failed {
-				klog.InfoS("store lost", "for", "targets", "targetsAgeMs", n.lockedTargetsAge().Milliseconds(), "err", roselog.ErrorMessage(err))
+				klog.InfoS("store lost", "for", "targets", "targetsAgeMs", n.targetsAge().Milliseconds(), "err", roselog.ErrorMessage(err))
 			}
 			failed = true
 		case err == nil:
 			if failed {
-				klog.InfoS("store regained", "for", "targets", "targets", len(registrations), "targetsAgeMs", n.lockedTargetsAge().Milliseconds())
+				klog.InfoS("store regained", "for", "targets", "targets", len(registrations), "targetsAgeMs", n.targetsAge().Milliseconds())
 				regainedAt = time.Now()
 			}
 			failed = false
@@ -65,7 +65,7 @@
 				epoch, regainedAt = newest, time.Now()
 			}
 			n.metrics.setUnreadableEntries(unreadable)
-			n.replaceTargets(registrations, sentAt, time.Since(regainedAt) < reregistrationTime)
+			n.replaceTargets(withReadyTimes(registrations, sentAt), sentAt, time.Since(regainedAt) < reregistrationTime)
 		}
 		n.awaitTargetsRead(ctx)
 	}
@@ -91,25 +91,25 @@
 }
 
 // targetsAge returns how long ago the read of the known targets was sent; zero before
-// the first. The caller holds the lock.
+// the first.
 func (n *Node) targetsAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targetsAgeLocked()
+}
+
+// targetsAgeLocked is targetsAge for callers that hold the lock.
+func (n *Node) targetsAgeLocked() time.Duration {
 	if n.targetsReadAt.IsZero() {
 		return 0
 	}
 	return n.config.Clock.Now().Sub(n.targetsReadAt)
 }
 
-func (n *Node) lockedTargetsAge() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.targetsAge()
-}
-
 // replaceTargets replaces the known targets by those of a read sent at readAt, unless
 // a newer read is known. With keepNewer, it keeps those that aren't in read, and
 // newer registrations than those.
 func (n *Node) replaceTargets(read []rosemary.TargetRegistration, readAt time.Time, keepNewer bool) {
-	read = withReadyTimes(read, readAt)
 	n.mu.Lock()
 	if keepNewer {
 		read = mergeRegistrations(n.registrations, read)
--- a/internal/rosenode/targets_peer.go
+++ b/internal/rosenode/targets_peer.go
@@ -69,7 +69,7 @@
 	if len(served) == 0 || !n.targetsLoaded {
 		return targetsKnown
 	}
-	if n.targetsAge() > maxTargetsAge {
+	if n.targetsAgeLocked() > maxTargetsAge {
 		return targetsOutdated
 	}
 	for _, r := range n.registrations {
@@ -87,7 +87,7 @@
 	question := rosewire.Question{About: rosepeer.AboutTargets}
 	askedAt := n.config.Clock.Now()
 	if onlyNewer {
-		age := uint64(n.lockedTargetsAge().Milliseconds())
+		age := uint64(n.targetsAge().Milliseconds())
 		question.AgeMs = &age
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTargetsTimeout)
@@ -101,7 +101,7 @@
 	for i, t := range reply.Targets {
 		registrations[i] = decodeRegistration(t, askedAt)
 	}
-	klog.InfoS("targets pulled", "from", from, "targets", len(registrations), "ageMs", *reply.AgeMs, "ownAgeMs", n.lockedTargetsAge().Milliseconds())
+	klog.InfoS("targets pulled", "from", from, "targets", len(registrations), "ageMs", *reply.AgeMs, "ownAgeMs", n.targetsAge().Milliseconds())
 	n.replaceTargets(registrations, readAt, false)
 }
 
@@ -110,7 +110,7 @@
 func (n *Node) describeTargets(question rosewire.Question) rosewire.Reply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	age := n.targetsAge()
+	age := n.targetsAgeLocked()
 	if !n.targetsLoaded || question.AgeMs != nil && age >= millis(*question.AgeMs) {
 		return rosewire.Reply{}
 	}
