--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -27,8 +27,8 @@
 	// chooseInterval is the longest wait before a target is chosen again.
 	chooseInterval = 25 * time.Millisecond
 	// leavingMargin is how long before the end of Config.LeavingTime a leaving primary
-	// gets no new work any more, so that none arrives later. Of a short time it is
-	// half.
+	// gets no new work any more, so that none arrives after it. For a short
+	// LeavingTime it is half of that.
 	leavingMargin = 2 * time.Second
 	// responseTimeWeight is the weight of a new response time in the moving
 	// average.
@@ -140,10 +140,11 @@
 }
 
 // pastLeavingGrace reports whether a leaving target gets no new work, whatever its
-// role. Its report came after it was last known to be ready.
+// role. The time counts from when it was last known to be ready, which is before its
+// report, however late the report was noticed here.
 func (e *endpoint) pastLeavingGrace(now time.Time) bool {
-	limit := e.group.config.LeavingTime
-	return e.leaving && now.Sub(e.lastReadyAt) > limit-min(leavingMargin, limit/2)
+	leavingTime := e.group.config.LeavingTime
+	return e.leaving && now.Sub(e.lastReadyAt) > leavingTime-min(leavingMargin, leavingTime/2)
 }
 
 // cost reports whether e can serve the request, and estimates its response time.
--- a/pkg/rosemary/statement.go
+++ b/pkg/rosemary/statement.go
@@ -175,8 +175,8 @@
 	// Sequence increases with each update of the record.
 	Sequence int64
 	// LastReadyAt is when the reader of the record last knew that the target wasn't
-	// leaving, on its own clock; zero if it never did. A leaving target has been
-	// leaving since then at most.
+	// leaving, on its own clock; zero if it never did. A leaving target reported so
+	// later.
 	LastReadyAt time.Time
 }
 
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -190,8 +190,8 @@
 }
 
 // RefreshNow has the lease renewed and free locks claimed at once, as a lock was
-// released, or another call has found that the store was restored. What it is told
-// may be missing in a stale list.
+// released, or another call has found that the store was restored. A stale list may
+// not show that yet, so the next one is fresh.
 func (l *LockManager) RefreshNow() {
 	l.requireFreshList()
 	select {
