rosesupervisor: check that promotions are accepted before a step-down

A promotion of the present primary shows whether orders are accepted, but takes effect after the step-down if that follows at once.

Change: the check is ordered first and given 1.2 s to take effect while the primary still leads; PromotionCheck tells whether it is recent enough. The simulated group decides at the effect of a promotion, not at its order, whether anything changes, so the naive check makes the test's last check fail.

The test failed before.

--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -123,6 +123,8 @@
 	// plannedAfter is when a primary that answers may be replaced, after an attempt
 	// that had to promote it again.
 	plannedAfter time.Time
+	// promotions is what is known of the platform's acceptance of promotions.
+	promotions promotionCheck
 	// generation is that of the lock under which the current attempt began.
 	generation int64
 
@@ -262,7 +264,10 @@
 	if action.planned() && r.config.Clock.Now().Before(r.plannedAfter) {
 		return
 	}
-	if !due || !r.confirmedByPeers(ctx, action, view) {
+	if !due || action == ActionSwitchover && !r.promotionsAccepted(ctx, view) {
+		return
+	}
+	if !r.confirmedByPeers(ctx, action, view) {
 		return
 	}
 	klog.InfoS("replacement begins", "group", r.config.Group.Name(), "need", action.String(), "primary", view.PrimaryLease.Target,
@@ -369,6 +374,19 @@
 	return r.promoteFenced(ctx, view, term, fenced, append(fenced, oldPrimary), oldPrimary)
 }
 
+// promotionsAccepted reports whether the platform is known to accept promotions, and
+// checks it if that is due.
+func (r *Replacer) promotionsAccepted(ctx context.Context, view rosefleet.View) bool {
+	primary, term := view.PrimaryLease.Target, view.PrimaryLease.Term
+	askedAt := r.config.Clock.Now()
+	if r.promotions.due(primary, term, askedAt) {
+		err := r.requestPromotion(ctx, primary)
+		r.promotions = r.promotions.withResult(primary, term, askedAt, r.config.Clock.Now(), err == nil)
+		klog.InfoS("promotions checked", "group", r.config.Group.Name(), "primary", primary, "term", term, "accepted", err == nil, "err", roselog.ErrorMessage(err))
+	}
+	return r.promotions.allowsStepDown(primary, term, r.config.Clock.Now())
+}
+
 // pingPromoter checks that the platform can be reached, as a primary must not
 // step down for a successor that can't be promoted.
 func (r *Replacer) pingPromoter(ctx context.Context) error {
