--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -33,8 +33,8 @@
 	// connections are closed, for the node to stop and the log to be flushed.
 	shutdownMargin = 300 * time.Millisecond
 	// gcPercent is how far the heap may grow before the next collection, in percent
-	// of the live memory. It is high since live memory is a small part of the VM's.
-	gcPercent = 400
+	// of the live memory.
+	gcPercent = 100
 	// memoryLimitShare is the share of the VM's memory set as the soft memory
 	// limit, near which collections become frequent.
 	memoryLimitShare = 0.7
