rosepeer: companions beside the rings, links dialed by one end

Cause: above the size of a full mesh a proxy was linked to those on its rings only, and not to the other homes of its groups, whose statuses and votes it needs.

Change: SetCompanions adds neighbours; a proxy that hasn't chosen a neighbour answers its heartbeats. The end with the lower name dials, the other only if that fails. Arrivals of members wait for the next tick.

--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -72,9 +72,11 @@
 	// done is closed when Run ends, to stop links that peers opened.
 	done chan struct{}
 
-	mu       sync.Mutex
-	node     *Node
-	links    map[rosemary.ProxyID]*link
+	mu    sync.Mutex
+	node  *Node
+	links map[rosemary.ProxyID]*link
+	// dialedAt is when a neighbour without a link was last dialed, or was left to dial
+	// this proxy.
 	dialedAt map[rosemary.ProxyID]time.Time
 	// fetches holds the callers of FetchPart that wait for a part.
 	fetches map[fetchKey][]chan string
@@ -165,7 +167,12 @@
 		if m.links[id] != nil || now.Sub(m.dialedAt[id]) < redialInterval+dialTimeout {
 			continue
 		}
+		_, missing := m.dialedAt[id]
 		m.dialedAt[id] = now
+		if !missing && id < m.config.Node.Self.Proxy {
+			// The other end dials. If it doesn't, this one does next time.
+			continue
+		}
 		if member, found := m.node.Find(id); found {
 			m.tasks.Go(func() { m.dial(ctx, member) })
 		}
@@ -317,6 +324,33 @@
 	})
 }
 
+// SetCompanions sets the members that this proxy is linked to in addition to those on
+// the rings of a large mesh.
+func (m *Mesh) SetCompanions(ids []rosemary.ProxyID) {
+	m.update(func(n *Node) { n.SetCompanions(ids) })
+}
+
+// FullMesh reports whether this proxy links to all members, as it does up to
+// NodeConfig.FullMeshSize.
+func (m *Mesh) FullMesh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.FullMesh()
+}
+
+// FilterLive returns the members that are alive or suspected, in the same order.
+func (m *Mesh) FilterLive(members []rosemary.Member) []rosemary.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := make([]rosemary.Member, 0, len(members))
+	for _, member := range members {
+		if m.node.Live(member.Proxy) {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
 // LiveMembers returns the alive and suspected members, including this one.
 func (m *Mesh) LiveMembers() []rosemary.Member {
 	m.mu.Lock()
@@ -324,6 +358,13 @@
 	return m.node.LiveMembers()
 }
 
+// LiveOthers returns the other members that are alive or suspected, linked or not.
+func (m *Mesh) LiveOthers() []rosemary.ProxyID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.LiveOthers()
+}
+
 // View returns what is known of every other member.
 func (m *Mesh) View() []MemberView {
 	m.mu.Lock()
@@ -342,6 +383,19 @@
 	return ids
 }
 
+// LinkedMembers returns the members that this proxy has a link to.
+func (m *Mesh) LinkedMembers() []rosemary.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members := make([]rosemary.Member, 0, len(m.links))
+	for id := range m.links {
+		if member, known := m.node.Find(id); known {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
 // SentTraffic returns the traffic sent to peers so far.
 func (m *Mesh) SentTraffic() Traffic {
 	m.mu.Lock()
--- a/pkg/rosepeer/neighbours.go
+++ b/pkg/rosepeer/neighbours.go
@@ -20,7 +20,9 @@
 // Neighbours returns the proxies that this one sends to and monitors: all
 // members up to FullMeshSize, beyond it a bounded number in the same zone and
 // in other zones, since a proxy's traffic in a full mesh grows with the number
-// of members. The relation is symmetric.
+// of members, and the companions. The relation is symmetric but for companions, whose
+// choice depends on lists that may differ for a while: a proxy answers the heartbeats of
+// one that it hasn't chosen.
 func (n *Node) Neighbours() []rosemary.ProxyID {
 	if !n.neighboursStale {
 		return n.neighbours
@@ -33,16 +35,33 @@
 		}
 	}
 	members = append(members, n.config.Self)
+	n.fullMesh = len(members) <= n.config.FullMeshSize
 	former := n.neighbours
 	if n.config.SelectNeighbours != nil && len(members) > n.config.FullMeshSize {
 		n.neighbours = n.config.SelectNeighbours(n.config.Self, members)
 	} else {
 		n.neighbours = selectNeighbours(n.config.Self, members, n.config.FullMeshSize)
 	}
+	if !n.fullMesh {
+		n.addCompanions()
+	}
 	n.resetFormerNeighbours(former)
 	return n.neighbours
 }
 
+// addCompanions adds the companions that aren't dead or leaving to the neighbours.
+func (n *Node) addCompanions() {
+	for _, id := range n.companions {
+		p := n.peers[id]
+		if p == nil || p.state > StateSuspect {
+			continue
+		}
+		if at, found := slices.BinarySearch(n.neighbours, id); !found {
+			n.neighbours = slices.Insert(n.neighbours, at, id)
+		}
+	}
+}
+
 // resetFormerNeighbours clears neighbourSince of former neighbours: one that is
 // chosen again has not been heard from in between, and would be suspected at
 // once.
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -102,10 +102,13 @@
 	peers       map[rosemary.ProxyID]*peer
 	// notAlive holds the peers whose state isn't StateAlive, so that a tick
 	// does not scan all peers.
-	notAlive            map[rosemary.ProxyID]struct{}
-	primaries           map[string]rosewire.Lead
-	neighbours          []rosemary.ProxyID
+	notAlive   map[rosemary.ProxyID]struct{}
+	primaries  map[string]rosewire.Lead
+	neighbours []rosemary.ProxyID
+	// companions are neighbours in addition to those on the rings.
+	companions          []rosemary.ProxyID
 	neighboursStale     bool
+	fullMesh            bool
 	bundleVersion       uint64
 	newestBundleVersion uint64
 	lastHeartbeatSent   time.Time
@@ -153,6 +156,30 @@
 	}
 }
 
+// SetCompanions sets the members that are neighbours in addition to those on the rings,
+// as this proxy works with them. They should choose this proxy, too.
+func (n *Node) SetCompanions(ids []rosemary.ProxyID) {
+	if !slices.Equal(ids, n.companions) {
+		n.companions = slices.Clone(ids)
+		n.neighboursStale = true
+	}
+}
+
+// FullMesh reports whether all members are neighbours.
+func (n *Node) FullMesh() bool {
+	n.Neighbours()
+	return n.fullMesh
+}
+
+// Live reports whether a member is alive or suspected.
+func (n *Node) Live(id rosemary.ProxyID) bool {
+	if id == n.config.Self.Proxy {
+		return true
+	}
+	p := n.peers[id]
+	return p != nil && p.confirmed && p.state <= StateSuspect
+}
+
 // LiveMembers returns the alive and suspected members, including this one.
 func (n *Node) LiveMembers() []rosemary.Member {
 	live := []rosemary.Member{n.config.Self}
@@ -165,6 +192,17 @@
 	return live
 }
 
+// LiveOthers returns the other members that are alive or suspected.
+func (n *Node) LiveOthers() []rosemary.ProxyID {
+	var ids []rosemary.ProxyID
+	for id := range n.peers {
+		if n.Live(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Find returns the member of that name, whatever its state.
 func (n *Node) Find(id rosemary.ProxyID) (rosemary.Member, bool) {
 	p := n.peers[id]
@@ -256,17 +294,21 @@
 		return envelopes, events
 	}
 	n.lastHeartbeatSent = now
-	heartbeat := rosewire.Message{Heartbeat: &rosewire.Heartbeat{
-		Incarnation:   n.incarnation,
-		BundleVersion: n.bundleVersion,
-		Draining:      n.draining,
-	}}
+	heartbeat := n.heartbeat()
 	for _, id := range n.Neighbours() {
 		envelopes = append(envelopes, Envelope{id, heartbeat})
 	}
 	return envelopes, events
 }
 
+func (n *Node) heartbeat() rosewire.Message {
+	return rosewire.Message{Heartbeat: &rosewire.Heartbeat{
+		Incarnation:   n.incarnation,
+		BundleVersion: n.bundleVersion,
+		Draining:      n.draining,
+	}}
+}
+
 // heartbeatInterval returns the time between heartbeats. It is longer for a
 // large membership, as each proxy then monitors only a few of the members.
 func (n *Node) heartbeatInterval() time.Duration {
@@ -332,6 +374,16 @@
 	}
 }
 
+// flushUrgent is flush unless only arrivals of members are pending: those wait for the
+// next tick, as many arrive together when proxies start.
+func (n *Node) flushUrgent() []Envelope {
+	left := func(m rosewire.Member) bool { return State(m.State) != StateAlive }
+	if n.pending.BundleVersion == nil && len(n.pending.Leads) == 0 && !slices.ContainsFunc(n.pending.Members, left) {
+		return nil
+	}
+	return n.flush()
+}
+
 // flush returns the pending updates for every neighbour except the one they
 // came from.
 func (n *Node) flush() []Envelope {
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -37,6 +37,9 @@
 	// AboutZoneSuspected tells a peer of the same availability zone that the sender has
 	// just lost targets, so that the peer checks whether the zone is cut off.
 	AboutZoneSuspected = "ZoneSuspicion"
+	// AboutZoneLost tells a peer of the same availability zone that no proxy of another
+	// zone answers the sender.
+	AboutZoneLost = "ZoneLoss"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
 	AboutAbstain = "Abstain"
--- a/pkg/rosepeer/receive.go
+++ b/pkg/rosepeer/receive.go
@@ -1,6 +1,7 @@
 package rosepeer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -15,11 +16,19 @@
 		events = n.receiveHello(now, *message.Hello)
 	case message.Heartbeat != nil:
 		events = n.receiveHeartbeat(now, from, *message.Heartbeat)
+		if _, chosen := slices.BinarySearch(n.Neighbours(), from); !chosen {
+			return append(n.flushUrgent(), Envelope{from, n.heartbeat()}), events
+		}
 	case message.News != nil:
-		n.pendingSource = from
+		if len(n.pending.Members) == 0 {
+			n.pendingSource = from
+		} else if n.pendingSource != from {
+			// Updates of several peers go to all.
+			n.pendingSource = ""
+		}
 		events = n.receiveNews(now, from, *message.News)
 	}
-	return n.flush(), events
+	return n.flushUrgent(), events
 }
 
 // FullState returns the confirmed members that aren't dead, the primaries and
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -232,8 +232,8 @@
 	// for a while), LockReleased (claim the lock of Group, which is free), Guarantee
 	// (for how long is the primary of Term not replaced), LastPrimary (which was the
 	// newest primary that the peer knew), ZoneSuspicion (check whether the zone is
-	// cut off), Targets (send the registered targets) or Facts (send the sampled
-	// target statuses).
+	// cut off), ZoneLoss (no proxy of another zone answers the sender), Targets (send
+	// the registered targets) or Facts (send the sampled target statuses).
 	About string `cbor:"About"`
 
 	// AgeMs is the age of the list of targets that the sender has; a Question about
