rosenode: link to a bounded number, work out homes once a change

Cause: up to 400 proxies were linked to each other, and each relayed request sorted all members by hashes and listed the live ones.

Change: a full mesh up to 32 proxies, rings and the other homes of a proxy's groups above. The directory of homes is an immutable value, worked out when members, configuration or slots change; a request reads it. Votes count homes.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -117,28 +117,26 @@
 	if n.context == nil || n.context.Err() != nil {
 		return
 	}
-	for name, settings := range configuration.Groups {
+	directory := n.updateDirectory(members)
+	byGroup := make(map[string][]rosemary.TargetRegistration, len(configuration.Groups))
+	for _, r := range n.registrations {
+		byGroup[r.Group] = append(byGroup[r.Group], r)
+	}
+	for name := range configuration.Groups {
 		g := n.groups[name]
 		if g == nil {
 			g = n.startGroup(name)
 		}
-		var registrations []rosemary.TargetRegistration
-		for _, r := range n.registrations {
-			if r.Group == name {
-				registrations = append(registrations, r)
-			}
-		}
-		slots := minSlots(name, n.registrations)
-		available := availableConns(settings, slots)
-		groupHomes := homes(name, available, members)
-		limits := connLimits(available, n.config.Self, groupHomes)
+		registrations := byGroup[name]
+		entry := directory.groups[name]
+		limits := entry.limits
 		if time.Since(n.startedAt) < startupTime {
-			limits = limitToSlots(limits, slots)
+			limits = limitToSlots(limits, directory.slots[name])
 		}
 		wasHome := g.home
-		g.home = isHome(n.config.Self.Proxy, groupHomes)
+		g.home = entry.home
 		if g.home != wasHome {
-			klog.InfoS("home changed", "group", name, "home", g.home, "homes", len(groupHomes), "members", len(members),
+			klog.InfoS("home changed", "group", name, "home", g.home, "homes", len(entry.homes), "members", len(members),
 				"targetsAgeMs", n.targetsAgeLocked().Milliseconds())
 		}
 		if g.home && !wasHome && !fromStore {
@@ -178,7 +176,7 @@
 	n.groups[name] = g
 	g.replacer = rosesupervisor.NewReplacer(rosesupervisor.ReplacerConfig{
 		Self: n.config.Self.Proxy, Group: g.Group, Locks: n.locks, Promoter: n.config.Promoter, Clock: n.config.Clock,
-		Voters:     peers{n.mesh},
+		Voters:     n.peers(),
 		ProxyCount: func() int { return n.homeCount(name) },
 	})
 	n.goroutines.Go(func() { g.replacer.Run(ctx) })
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -82,41 +82,32 @@
 	return len(homes) == 0 || slices.ContainsFunc(homes, func(m rosemary.Member) bool { return m.Proxy == self })
 }
 
-// homesForGroup returns the home proxies of a group.
-func (n *Node) homesForGroup(group string) []rosemary.Member {
-	return n.homesAmong(group, n.locks.Members())
-}
-
 // homesAmong returns those members that are home proxies of a group: all before there
 // is a configuration.
 func (n *Node) homesAmong(group string, members []rosemary.Member) []rosemary.Member {
-	configuration := n.configuration.Load()
-	if configuration == nil {
+	d := n.directory.Load()
+	if d == nil {
 		return members
 	}
-	return homes(group, n.availableConnsForGroup(group, configuration.Groups[group]), members)
+	if entry, known := d.groups[group]; known && slices.Equal(d.members, members) {
+		return entry.homes
+	}
+	configuration := n.configuration.Load()
+	return homes(group, availableConns(configuration.Groups[group], d.slots[group]), members)
 }
 
 // homeCount returns the number of home proxies of a group, at least 1.
 func (n *Node) homeCount(group string) int {
-	return max(len(n.homesForGroup(group)), 1)
-}
-
-// availableConnsForGroup is availableConns with the slots of the group's
-// registered targets.
-func (n *Node) availableConnsForGroup(group string, settings rosemary.GroupSettings) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return availableConns(settings, minSlots(group, n.registrations))
+	entry, _ := n.homesOf(group)
+	return max(len(entry.homes), 1)
 }
 
-// minSlots returns the smallest number of slots of a group's targets, or zero if
-// none is known.
-func minSlots(group string, registrations []rosemary.TargetRegistration) int {
-	slots := 0
+// minSlots returns the smallest number of slots of each group's targets.
+func minSlots(registrations []rosemary.TargetRegistration) map[string]int {
+	slots := make(map[string]int)
 	for _, r := range registrations {
-		if r.Group == group && (slots == 0 || r.Slots < slots) {
-			slots = r.Slots
+		if known := slots[r.Group]; known == 0 || r.Slots < known {
+			slots[r.Group] = r.Slots
 		}
 	}
 	return slots
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -81,11 +81,15 @@
 	// zoneSuspected is set when a peer of the zone has lost targets, or a source of
 	// statuses doesn't answer.
 	zoneSuspected atomic.Bool
+	// zoneLostAt is when another proxy of the zone last told that it has lost the other
+	// zones, in nanoseconds of Config.Clock.
+	zoneLostAt atomic.Int64
 
 	// applying is held while a configuration is compared with the one in force and
 	// replaces it.
 	applying      sync.Mutex
 	configuration atomic.Pointer[rosemary.Configuration]
+	directory     atomic.Pointer[directory]
 	draining      atomic.Bool
 
 	mu            sync.Mutex
@@ -149,7 +153,7 @@
 		Prefix:         keyPrefix,
 		Groups:         n.homeGroups,
 		Contenders:     n.homesAmong,
-		Peers:          peers{n.mesh},
+		Peers:          n.peers(),
 		PrimaryZone:    n.primaryZone,
 		PrimaryMissing: n.primaryMissing,
 		PrimaryAnswers: n.primaryAnswers,
@@ -158,6 +162,14 @@
 	return n
 }
 
+// peers returns the requests to the other proxies.
+func (n *Node) peers() peers {
+	return peers{n.mesh, func(group string) []rosemary.Member {
+		entry, _ := n.homesOf(group)
+		return entry.homes
+	}}
+}
+
 // Run follows the store and the other proxies until ctx ends, and then closes
 // the groups.
 func (n *Node) Run(ctx context.Context) {
@@ -365,5 +377,11 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *Metrics { return n.metrics }
 
+// LinkTraffic returns the number of other proxies that this one is linked to, and the
+// traffic sent to them so far.
+func (n *Node) LinkTraffic() (int, rosepeer.Traffic) {
+	return len(n.mesh.LinkedPeers()), n.mesh.SentTraffic()
+}
+
 // Zone returns the availability zone that the proxy runs in.
 func (n *Node) Zone() rosemary.Zone { return n.config.Self.Zone }
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,8 +22,9 @@
 const (
 	peerHeartbeatInterval = time.Second
 	// peerFullMeshSize is the number of proxies up to which each connects to
-	// every other one.
-	peerFullMeshSize = 400
+	// every other one. Above it, each connects to a bounded number on rings, and to
+	// the other homes of its groups.
+	peerFullMeshSize = 32
 	peerTickInterval = 100 * time.Millisecond
 	// peerHeaderTimeout bounds the time to receive a peer's request headers.
 	peerHeaderTimeout = 5 * time.Second
@@ -40,9 +42,23 @@
 )
 
 // peers queries the other proxies. It implements rosesupervisor.Peers and
-// rosesupervisor.Voters.
+// rosesupervisor.Voters. Above peerFullMeshSize a proxy isn't linked to all: what needs
+// the word of all is then done without, and what needs that of a group's homes is asked of
+// those, which are linked to each other.
 type peers struct {
 	mesh *rosepeer.Mesh
+	// homes returns the homes of a group.
+	homes func(group string) []rosemary.Member
+}
+
+// users returns the linked proxies that use a group's targets: its homes, or all before
+// those are known.
+func (p peers) users(group string) []rosemary.ProxyID {
+	linked, homes := p.mesh.LinkedPeers(), p.homes(group)
+	if len(homes) == 0 {
+		return linked
+	}
+	return slices.DeleteFunc(linked, func(id rosemary.ProxyID) bool { return !isHome(id, homes) })
 }
 
 var (
@@ -85,13 +101,13 @@
 // followMembers passes the registered proxies to the mesh, and detects whether
 // this proxy is isolated.
 func (n *Node) followMembers(ctx context.Context) {
-	memberCount := 0
+	var known []rosemary.Member
 	for roseclock.Sleep(ctx, n.membersPollInterval()) {
 		members := n.locks.Members()
-		n.mesh.AddMembers(members)
-		if len(members) != memberCount {
-			// The connection limits depend on the number of proxies.
-			memberCount = len(members)
+		if !slices.Equal(members, known) {
+			known = members
+			n.mesh.AddMembers(members)
+			// Homes and connection limits depend on the members.
 			n.updateGroups(false)
 		}
 		isolated := len(members) > 1 && !n.locks.Registered() && len(n.mesh.LinkedPeers()) == 0
@@ -177,6 +193,10 @@
 	case rosepeer.AboutZoneSuspected:
 		n.zoneSuspected.Store(true)
 		return rosewire.Reply{Yes: true, Known: true}
+	case rosepeer.AboutZoneLost:
+		n.zoneLostAt.Store(n.config.Clock.Now().UnixNano())
+		n.zoneSuspected.Store(true)
+		return rosewire.Reply{Yes: true, Known: true}
 	case rosepeer.AboutTargetStatuses:
 		return rosewire.Reply{Yes: true, Known: true, Facts: n.recentStatuses()}
 	case rosepeer.AboutTargets:
@@ -220,19 +240,28 @@
 }
 
 // RequestAbstention asks all connected peers not to claim failover locks for a while,
-// and returns those that promised it, and all that were asked.
+// and returns those that promised it, and all that were asked. It asks none if this proxy
+// isn't linked to all, whose promises are needed.
 func (p peers) RequestAbstention(ctx context.Context) (promised, asked []rosemary.ProxyID) {
+	if !p.mesh.FullMesh() {
+		return nil, p.others()
+	}
 	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain})
 	return agreedPeers(replies), asked
 }
 
+// others returns the other live proxies, linked or not.
+func (p peers) others() []rosemary.ProxyID {
+	return p.mesh.LiveOthers()
+}
+
 // NotifyLockReleased tells a peer to claim the lock of a group now.
 func (p peers) NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string) {
 	p.mesh.Query(ctx, to, rosewire.Question{About: rosepeer.AboutLockReleased, Group: group})
 }
 
-// PollReachability asks all connected peers whether they reach a target, until the
-// replies decide. It returns them with the poll.
+// PollReachability asks the users of the group's targets whether they reach a target,
+// until the replies decide. It returns them with the poll.
 func (p peers) PollReachability(ctx context.Context, group string, target rosemary.TargetID, poll rosesupervisor.Poll) rosesupervisor.Poll {
 	count := func(replies []rosepeer.PeerReply) rosesupervisor.Poll {
 		counted := poll
@@ -242,7 +271,7 @@
 		return counted
 	}
 	question := rosewire.Question{About: rosepeer.AboutReachability, Group: group, Target: string(target)}
-	return count(p.mesh.QueryUntil(ctx, question, p.mesh.LinkedPeers(), func(replies []rosepeer.PeerReply) bool { return count(replies).Decided() }))
+	return count(p.mesh.QueryUntil(ctx, question, p.users(group), func(replies []rosepeer.PeerReply) bool { return count(replies).Decided() }))
 }
 
 // LastPrimary asks all connected peers for the newest primary that they knew, and
@@ -261,19 +290,24 @@
 }
 
 // RevokePrimary asks all connected peers to stop using the primary of term. It
-// returns those that have, and all that were asked.
+// returns those that have, and all that were asked. If this proxy isn't linked to all, it
+// tells the group's homes, and counts the others as asked.
 func (p peers) RevokePrimary(ctx context.Context, group string, term uint64) (stopped, asked []rosemary.ProxyID) {
+	if !p.mesh.FullMesh() {
+		replies := p.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutPrimaryRevoked, Group: group, Term: term}, p.users(group), nil)
+		return agreedPeers(replies), p.others()
+	}
 	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutPrimaryRevoked, Group: group, Term: term})
 	return agreedPeers(replies), asked
 }
 
-// ReportSuspected tells all connected peers that the target has just failed to
+// ReportSuspected tells the users of the group's targets that the target has just failed to
 // answer this proxy, so that they sample it at once.
 func (p peers) ReportSuspected(ctx context.Context, group string, target rosemary.TargetID) {
 	p.notifyAll(ctx, rosepeer.AboutPrimarySuspected, group, target)
 }
 
-// ReportUnreachable tells all connected peers that this proxy can't reach the target.
+// ReportUnreachable tells the users of the group's targets that this proxy can't reach the target.
 func (p peers) ReportUnreachable(ctx context.Context, group string, target rosemary.TargetID) {
 	p.notifyAll(ctx, rosepeer.AboutPrimaryUnreachable, group, target)
 }
@@ -281,7 +315,7 @@
 func (p peers) notifyAll(ctx context.Context, about, group string, target rosemary.TargetID) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	p.mesh.QueryAll(ctx, rosewire.Question{About: about, Group: group, Target: string(target)})
+	p.mesh.QueryUntil(ctx, rosewire.Question{About: about, Group: group, Target: string(target)}, p.users(group), nil)
 }
 
 func agreedPeers(replies []rosepeer.PeerReply) []rosemary.ProxyID {
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -141,26 +141,14 @@
 // RelayHomes returns the live home proxies that tasks of a group are relayed to,
 // those of this proxy's zone first. It returns none if this proxy is a home.
 func (n *Node) RelayHomes(group string) []rosemary.Member {
-	if n.configuration.Load() == nil {
+	entry, known := n.homesOf(group)
+	if !known || entry.home {
 		return nil
 	}
-	homes := n.homesForGroup(group)
-	if isHome(n.config.Self.Proxy, homes) {
-		return nil
-	}
-	live := make(map[rosemary.ProxyID]bool)
-	for _, m := range n.mesh.LiveMembers() {
-		live[m.Proxy] = true
-	}
-	var sameZone, otherZones []rosemary.Member
-	for _, m := range homes {
-		switch {
-		case !live[m.Proxy]:
-		case m.Zone == n.config.Self.Zone:
-			sameZone = append(sameZone, m)
-		default:
-			otherZones = append(otherZones, m)
-		}
+	sameZone, otherZones := n.mesh.FilterLive(entry.sameZone), n.mesh.FilterLive(entry.otherZones)
+	if n.zonePartitioned.Load() && len(sameZone) > 0 {
+		// The others can't be reached.
+		otherZones = nil
 	}
 	shuffle(sameZone)
 	shuffle(otherZones)
--- a/internal/rosenode/statuses.go
+++ b/internal/rosenode/statuses.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
@@ -41,12 +40,11 @@
 // statusSources returns the other proxies that sample the targets of this proxy's
 // home groups.
 func (n *Node) statusSources() []rosemary.ProxyID {
-	live := n.mesh.LiveMembers()
 	seen := map[rosemary.ProxyID]bool{n.config.Self.Proxy: true}
 	var sources []rosemary.ProxyID
 	for _, name := range n.homeGroups() {
-		groupHomes := n.homesForGroup(name)
-		liveHomes := slices.DeleteFunc(slices.Clone(live), func(m rosemary.Member) bool { return !isHome(m.Proxy, groupHomes) })
+		entry, _ := n.homesOf(name)
+		liveHomes := n.mesh.FilterLive(entry.homes)
 		if len(liveHomes) == 0 {
 			continue
 		}
--- a/internal/rosenode/targets_peer.go
+++ b/internal/rosenode/targets_peer.go
@@ -44,14 +44,8 @@
 		if knowledge == targetsKnown {
 			continue
 		}
-		var others []rosemary.Member
-		for _, m := range n.mesh.LiveMembers() {
-			if m.Proxy != n.config.Self.Proxy {
-				others = append(others, m)
-			}
-		}
-		if len(others) > 0 {
-			n.pullTargets(ctx, others[rand.IntN(len(others))].Proxy, knowledge == targetsOutdated)
+		if linked := n.mesh.LinkedPeers(); len(linked) > 0 {
+			n.pullTargets(ctx, linked[rand.IntN(len(linked))], knowledge == targetsOutdated)
 		}
 	}
 }
--- a/pkg/rosesupervisor/poll.go
+++ b/pkg/rosesupervisor/poll.go
@@ -14,7 +14,7 @@
 // Poll is what the holder of a failover lock knows when it decides whether to replace a
 // primary that it can't reach.
 type Poll struct {
-	// Members is the number of proxies, this one included.
+	// Members is the number of proxies that use the group's targets, this one included.
 	Members int
 	// Replied is the number of other proxies that replied. ReachedBy of them reach the
 	// primary and NotReachedBy don't; the rest don't know it.
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -293,8 +293,8 @@
 // be this proxy that is partitioned, and a partition may look like a refused
 // connection too.
 func (r *Replacer) confirmedByPeers(ctx context.Context, action Action, view rosefleet.View) bool {
-	members := len(r.config.Locks.Members())
-	if action == ActionSwitchover || r.config.Voters == nil || members <= 1 {
+	members := r.config.ProxyCount()
+	if action == ActionSwitchover || r.config.Voters == nil || len(r.config.Locks.Members()) <= 1 {
 		return true
 	}
 	now := r.config.Clock.Now()
