rosenode: detect the partition of a zone on proxies without targets

Cause: a proxy told the partition of its zone from its own targets, so one that is home to no group never did.

Change: such a proxy counts its zone as cut off if no linked proxy of another zone answers and another proxy of its zone has told it the same. The evidence is a value with its rule. Links that are moving when members come and go aren't taken for lost.

--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -22,68 +23,120 @@
 	maxZoneTargetShare = 0.4
 	// partitionQueryTimeout bounds the wait for a proxy of another zone.
 	partitionQueryTimeout = 250 * time.Millisecond
+	// zoneNotifyInterval separates the notices of this proxy while it has lost the other
+	// zones.
+	zoneNotifyInterval = 250 * time.Millisecond
+	// zoneAgreementAge is how long such a notice of another proxy counts.
+	zoneAgreementAge = 800 * time.Millisecond
 	// maxPartitionQueries is the number of proxies of other zones that are asked.
 	maxPartitionQueries = 6
 )
 
+// zoneEvidence is what a proxy knows when it decides whether its availability zone is cut
+// off. It answers the loss of a zone's links: the zone's clients are served elsewhere
+// only once all of its proxies have told the load balancer.
+type zoneEvidence struct {
+	// targets and answering are the targets that this proxy uses, and those that answer.
+	targets, answering int
+	// otherZonesLost is set if no proxy of another zone has just answered.
+	otherZonesLost bool
+	// agreeing is set if another proxy of the zone has lately told that it has lost the
+	// other zones, too.
+	agreeing bool
+}
+
+// partitioned reports whether the zone is cut off. A proxy that uses too few targets to
+// tell, as it is the home of no group, needs another one that agrees: it may be cut off
+// alone.
+func (e zoneEvidence) partitioned() bool {
+	if e.targets <= 1 {
+		return e.otherZonesLost && e.agreeing
+	}
+	return e.otherZonesLost && e.mostTargetsLost()
+}
+
+// mostTargetsLost reports whether so few targets answer that all of them may be in a
+// single zone.
+func (e zoneEvidence) mostTargetsLost() bool {
+	return e.targets > 1 && float64(e.answering) <= maxZoneTargetShare*float64(e.targets)
+}
+
 // watchZonePartition detects whether this proxy's availability zone is cut off
-// from the others: most targets don't answer, and no proxy of another zone does.
-// When a target is lost here or by a proxy of this zone, all are sampled at once, and
-// the other zones' proxies asked meanwhile, as the partition may be of the zone.
+// from the others. When a target is lost here or by a proxy of this zone, all are sampled
+// at once, and the other zones' proxies asked meanwhile.
 func (n *Node) watchZonePartition(ctx context.Context) {
 	lostBefore := 0
-	var unreachableAt time.Time
+	var lostAt, notifiedAt time.Time
+	var evidence zoneEvidence
 	for roseclock.Sleep(ctx, partitionCheckInterval) {
-		lost, _ := n.countTargets()
+		evidence.targets, evidence.answering = n.countTargets()
+		lost := evidence.targets - evidence.answering
 		newlyLost := lost > lostBefore
 		lostBefore = lost
+		suspected := n.zoneSuspected.Swap(false) || newlyLost
 		if newlyLost {
-			n.goroutines.Go(func() { n.notifyZone(ctx) })
+			n.goroutines.Go(func() { n.notifyZone(ctx, rosepeer.AboutZoneSuspected) })
 		}
-		suspected := n.zoneSuspected.Swap(false) || newlyLost
 		if suspected {
 			n.sampleTargets()
 		}
-		if (suspected || n.mostTargetsUnreachable()) && time.Since(unreachableAt) > partitionQueryTimeout && !n.otherZonesReachable(ctx) {
-			unreachableAt = time.Now()
+		due := time.Since(lostAt) > partitionQueryTimeout
+		if due && (suspected || evidence.otherZonesLost || evidence.mostTargetsLost()) {
+			evidence.otherZonesLost = !n.otherZonesReachable(ctx)
+			if evidence.otherZonesLost {
+				lostAt = time.Now()
+			}
 		}
-		partitioned := time.Since(unreachableAt) <= partitionQueryTimeout && n.mostTargetsUnreachable()
+		if evidence.otherZonesLost && time.Since(notifiedAt) > zoneNotifyInterval {
+			notifiedAt = time.Now()
+			n.goroutines.Go(func() { n.notifyZone(ctx, rosepeer.AboutZoneLost) })
+		}
+		evidence.targets, evidence.answering = n.countTargets()
+		evidence.agreeing = n.config.Clock.Now().Sub(time.Unix(0, n.zoneLostAt.Load())) <= zoneAgreementAge
+		partitioned := evidence.partitioned()
 		if n.zonePartitioned.Swap(partitioned) == partitioned {
 			continue
 		}
-		klog.InfoS("cut off changed", "cutOff", partitioned, "zone", n.config.Self.Zone)
+		klog.InfoS("cut off changed", "cutOff", partitioned, "zone", n.config.Self.Zone, "targets", evidence.targets, "answering", evidence.answering,
+			"otherZonesLost", evidence.otherZonesLost, "agreeing", evidence.agreeing)
 		n.config.OnZonePartitioned(partitioned)
 	}
 }
 
-// notifyZone has the other proxies of this zone check for a partition, too: those that
-// rely on statuses sampled by others would notice the loss of targets later.
-func (n *Node) notifyZone(ctx context.Context) {
-	var neighbours []rosemary.ProxyID
-	for _, m := range n.locks.Members() {
-		if m.Zone == n.config.Self.Zone && m.Proxy != n.config.Self.Proxy {
-			neighbours = append(neighbours, m.Proxy)
-		}
-	}
+// notifyZone has the linked proxies of this zone check for a partition, too: those that
+// rely on statuses sampled by others, or use no targets, would notice it later or never.
+func (n *Node) notifyZone(ctx context.Context, about string) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
-	n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutZoneSuspected}, neighbours, nil)
+	n.mesh.QueryUntil(ctx, rosewire.Question{About: about}, n.linkedIn(func(z rosemary.Zone) bool { return z == n.config.Self.Zone }), nil)
+}
+
+// linkedIn returns the linked proxies of the zones that are accepted.
+func (n *Node) linkedIn(accept func(rosemary.Zone) bool) []rosemary.ProxyID {
+	var ids []rosemary.ProxyID
+	for _, m := range n.mesh.LinkedMembers() {
+		if accept(m.Zone) {
+			ids = append(ids, m.Proxy)
+		}
+	}
+	return ids
 }
 
 // ServedElsewhere reports whether clients should connect to another proxy, as this
 // one's zone is cut off.
 func (n *Node) ServedElsewhere() bool { return n.zonePartitioned.Load() }
 
-// countTargets returns the number of targets that don't answer, and of all.
-func (n *Node) countTargets() (lost, all int) {
+// countTargets returns the number of targets that this proxy uses, and of those that
+// answer.
+func (n *Node) countTargets() (targets, answering int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, g := range n.groups {
-		targets, answering := g.CountReachable()
-		lost += targets - answering
-		all += targets
+		t, a := g.CountReachable()
+		targets += t
+		answering += a
 	}
-	return lost, all
+	return targets, answering
 }
 
 // sampleTargets has all targets sampled at once.
@@ -95,31 +148,25 @@
 	}
 }
 
-// mostTargetsUnreachable reports whether so few targets answer that all of them
-// may be in a single zone.
-func (n *Node) mostTargetsUnreachable() bool {
-	lost, all := n.countTargets()
-	return all > 1 && float64(all-lost) <= maxZoneTargetShare*float64(all)
-}
-
 // otherZonesReachable reports whether a proxy of another zone answers. It
 // returns true if no proxy is registered there, as then no other proxy could
 // serve this proxy's clients.
 func (n *Node) otherZonesReachable(ctx context.Context) bool {
-	var elsewhere []rosemary.ProxyID
-	for _, m := range n.locks.Members() {
-		if m.Zone != n.config.Self.Zone {
-			elsewhere = append(elsewhere, m.Proxy)
-		}
-	}
-	if len(elsewhere) == 0 {
+	elsewhere := func(z rosemary.Zone) bool { return z != n.config.Self.Zone }
+	if !slices.ContainsFunc(n.locks.Members(), func(m rosemary.Member) bool { return elsewhere(m.Zone) }) {
 		return true
 	}
-	rand.Shuffle(len(elsewhere), func(i, j int) { elsewhere[i], elsewhere[j] = elsewhere[j], elsewhere[i] })
 	ctx, cancel := context.WithTimeout(ctx, partitionQueryTimeout)
 	defer cancel()
+	linked := n.linkedIn(elsewhere)
+	if len(linked) == 0 {
+		// Links move when members come and go.
+		<-ctx.Done()
+		return len(n.linkedIn(elsewhere)) > 0
+	}
+	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
 	// The question names no target; any reply shows that the peer is reachable.
-	replies := n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutReachability}, elsewhere[:min(len(elsewhere), maxPartitionQueries)],
+	replies := n.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutReachability}, linked[:min(len(linked), maxPartitionQueries)],
 		func(replies []rosepeer.PeerReply) bool { return len(replies) > 0 })
 	return len(replies) > 0
 }
