rosenode: pass a suspected partition of the zone on at once

Cause: proxies that aren't linked to the one that lost its targets heard of the suspicion only once another had checked it, 250 ms later.

Change: a suspicion is passed on when it is received, at most once a second.

--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -26,6 +26,8 @@
 	// zoneNotifyInterval separates the notices of this proxy while it has lost the other
 	// zones.
 	zoneNotifyInterval = 250 * time.Millisecond
+	// zoneSuspicionInterval separates the times at which this proxy passes a suspicion on.
+	zoneSuspicionInterval = time.Second
 	// zoneAgreementAge is how long such a notice of another proxy counts.
 	zoneAgreementAge = 800 * time.Millisecond
 	// maxPartitionQueries is the number of proxies of other zones that are asked.
@@ -66,7 +68,7 @@
 // at once, and the other zones' proxies asked meanwhile.
 func (n *Node) watchZonePartition(ctx context.Context) {
 	lostBefore := 0
-	var lostAt, notifiedAt time.Time
+	var lostAt, notifiedAt, suspectedAt time.Time
 	var evidence zoneEvidence
 	for roseclock.Sleep(ctx, partitionCheckInterval) {
 		evidence.targets, evidence.answering = n.countTargets()
@@ -74,7 +76,9 @@
 		newlyLost := lost > lostBefore
 		lostBefore = lost
 		suspected := n.zoneSuspected.Swap(false) || newlyLost
-		if newlyLost {
+		if newlyLost || suspected && time.Since(suspectedAt) > zoneSuspicionInterval {
+			// Those that are linked to this proxy may not be to the one that suspects.
+			suspectedAt = time.Now()
 			n.goroutines.Go(func() { n.notifyZone(ctx, rosepeer.AboutZoneSuspected) })
 		}
 		if suspected {
