rosedecision: a package for the decisions on waiting, refusing and placing

Cause: what waits, is refused and where reads go was decided in the pool and the group, among locks and connections, and couldn't be replayed. A refusal for want of a primary named a constant time; a target that failed reads while its statuses were good kept its share of them.

Failures lower a target's share of reads, and the time to come back is an estimate from the outages seen.

--- /dev/null
+++ b/pkg/rosedecision/home.go
@@ -0,0 +1,118 @@
+package rosedecision
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+const (
+	// homeCrossZonePenalty is added to the cost of a home in another availability zone,
+	// whose answers have to come across: a round trip more, and the price of the traffic.
+	homeCrossZonePenalty = 25 * time.Millisecond
+	// lostHomeTime is how long a home that couldn't be reached or fell silent is tried last,
+	// before one request tries it again.
+	lostHomeTime = 3 * time.Second
+	// homeTimeWeight is the weight of the last answer in the moving average of a home's
+	// answer times.
+	homeTimeWeight = 0.1
+	// inFlightCost is added to the cost of a home for each request that it hasn't answered.
+	inFlightCost = time.Millisecond
+	// slowHomeFactor is how much more than another one a home of the same zone may cost
+	// before that one is preferred, as answer times vary with the statements.
+	slowHomeFactor = 2
+)
+
+// Home is what a proxy knows of a home that it could relay a request to. It answers a fleet
+// in which some proxies are slow, frozen, restarting or cut off: requests go to the least
+// busy home of the zone, and past one that doesn't answer.
+type Home struct {
+	Member rosemary.Member
+	// SameZone is set if the home is in the relaying proxy's availability zone.
+	SameZone bool
+	Record   HomeRecord
+}
+
+// HomeRecord is what relaying requests to a home has shown. The zero value knows nothing.
+type HomeRecord struct {
+	// InFlight is the number of requests that the home hasn't answered.
+	InFlight int
+	// answerTime is the moving average of its answer times; zero before the first.
+	answerTime time.Duration
+	// lostAt is when the home couldn't be reached or fell silent, zero once it answers.
+	lostAt time.Time
+}
+
+// WithAnswer returns the record after an answer that took some time.
+func (r HomeRecord) WithAnswer(took time.Duration) HomeRecord {
+	if r.answerTime == 0 {
+		r.answerTime = took
+	}
+	r.answerTime += time.Duration(homeTimeWeight * float64(took-r.answerTime))
+	r.lostAt = time.Time{}
+	return r
+}
+
+// WithLoss returns the record after the home couldn't be reached, or fell silent.
+func (r HomeRecord) WithLoss(now time.Time) HomeRecord {
+	r.lostAt = now
+	return r
+}
+
+// WithInFlight returns the record with another number of unanswered requests.
+func (r HomeRecord) WithInFlight(count int) HomeRecord {
+	r.InFlight = count
+	return r
+}
+
+// Lost reports whether the home is to be tried last: it couldn't be reached or fell silent a
+// short time ago, or the request that tries it again isn't answered yet.
+func (r HomeRecord) Lost(now time.Time) bool {
+	return !r.lostAt.IsZero() && (now.Sub(r.lostAt) < lostHomeTime || r.InFlight > 0)
+}
+
+// cost estimates the time until the answer of a request relayed now.
+func (h Home) cost(unknownTime time.Duration) time.Duration {
+	answerTime := h.Record.answerTime
+	if answerTime == 0 {
+		answerTime = unknownTime
+	}
+	cost := answerTime + time.Duration(h.Record.InFlight)*inFlightCost
+	if h.SameZone {
+		return cost
+	}
+	return slowHomeFactor*cost + homeCrossZonePenalty
+}
+
+// OrderHomes returns the homes in the order in which to try them: the least expected wait
+// first, homes of other zones only if that is much shorter, and lost ones last. It keeps
+// the given order, which should be random, among equals.
+func OrderHomes(homes []Home, now time.Time) []Home {
+	unknownTime := meanAnswerTime(homes)
+	ordered := slices.Clone(homes)
+	slices.SortStableFunc(ordered, func(a, b Home) int {
+		if lost := a.Record.Lost(now); lost != b.Record.Lost(now) {
+			if lost {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.cost(unknownTime), b.cost(unknownTime))
+	})
+	return ordered
+}
+
+// meanAnswerTime returns the mean over the homes that have answered, which is assumed of
+// the others.
+func meanAnswerTime(homes []Home) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, h := range homes {
+		if h.Record.answerTime > 0 {
+			sum += h.Record.answerTime
+			count++
+		}
+	}
+	return sum / time.Duration(max(count, 1))
+}
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -52,7 +53,9 @@
 	endpoints      map[rosemary.TargetID]*endpoint
 	changed        chan struct{}
 	primarySince   time.Time
-	closed         bool
+	// outage estimates when a primary that is missing is back.
+	outage rosedecision.Outage
+	closed bool
 }
 
 // endpoint is one target with its connections.
@@ -86,6 +89,8 @@
 	sharedAt time.Time
 	// responseTime is the moving average of the duration of successful exchanges.
 	responseTime time.Duration
+	// reliability is what the last exchanges say of the target.
+	reliability rosedecision.Reliability
 }
 
 // NewGroup returns a group without targets.
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -9,16 +9,12 @@
 	"github.com/gravitational/trace"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
 const (
-	// crossZonePenalty is added to the cost of a target in another availability
-	// zone: about a round trip and the price of the traffic.
-	crossZonePenalty = 6 * time.Millisecond
-	// primaryPenalty keeps reads that a replica can serve off the primary.
-	primaryPenalty = 15 * time.Millisecond
 	// replicaBackoff is how long reads avoid a replica that had not reached
 	// their minimum position or had no connection left.
 	replicaBackoff = 60 * time.Millisecond
@@ -76,10 +72,10 @@
 			}
 		}
 		if !time.Now().Before(request.Deadline) || e == nil && g.config.ZonePartitioned() {
-			return nil, noTargetRefusal(request)
+			return nil, g.noTargetRefusal(request)
 		}
 		if e == nil && !awaitChange(ctx, changed, request.Deadline) {
-			return nil, noTargetRefusal(request)
+			return nil, g.noTargetRefusal(request)
 		}
 	}
 }
@@ -105,6 +101,7 @@
 	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
 	valid := known && g.config.AllowPrimary() && now.Before(primary.ValidUntil)
+	g.outage = g.outage.WithPrimary(valid, now)
 	if request.Primary {
 		if e := g.endpoints[primary.Target]; valid && e != nil && e.unreachableSince.IsZero() && !e.pastLeavingGrace(now) {
 			return e, primary.Term, g.changed
@@ -114,11 +111,15 @@
 	var best *endpoint
 	var lowest time.Duration
 	for id, e := range g.endpoints {
-		cost, usable := g.cost(e, primary, valid, now, request)
-		if usable && id == request.Avoid {
-			cost += time.Second
+		if !g.canServe(e, primary, valid, now, request) {
+			continue
 		}
-		if usable && (best == nil || cost < lowest) {
+		inUse, waiting, limit, _ := e.pool.load()
+		cost := rosedecision.Target{
+			ResponseTime: e.responseTime, InUse: inUse, Waiting: waiting, Limit: limit,
+			OtherZone: e.target.Zone != g.config.Zone, Primary: id == primary.Target, Avoid: id == request.Avoid, Reliability: e.reliability,
+		}.Cost(now, rand.Float64())
+		if best == nil || cost < lowest {
 			best, lowest = e, cost
 		}
 	}
@@ -147,37 +148,19 @@
 	return e.leaving && now.Sub(e.lastReadyAt) > leavingTime-min(leavingMargin, leavingTime/2)
 }
 
-// cost reports whether e can serve the request, and estimates its response time.
-// A random factor of up to 5 % spreads requests over targets of similar cost. The
-// lock must be held.
-func (g *Group) cost(e *endpoint, primary rosegroup.PrimaryLease, valid bool, now time.Time, request Request) (time.Duration, bool) {
+// canServe reports whether e can serve a read. The lock must be held.
+func (g *Group) canServe(e *endpoint, primary rosegroup.PrimaryLease, valid bool, now time.Time, request Request) bool {
 	status, _, seen := g.primaryTracker.Status(e.target.ID)
 	if !seen || !e.unreachableSince.IsZero() {
-		return 0, false
-	}
-	isPrimary := e.target.ID == primary.Target
-	switch {
-	case isPrimary && (!valid || e.pastLeavingGrace(now)):
-		return 0, false
-	case !isPrimary && now.Before(e.backoffUntil) && !g.caughtUp(e, now, request.MinPosition):
-		return 0, false
-	case !isPrimary && (request.MinPosition.IsZero() || status.Role != rosemary.RoleReplica || e.leaving):
-		return 0, false
-	}
-	inUse, waiting, limit, _ := e.pool.load()
-	load := float64(inUse+waiting) / float64(max(limit, 1))
-	responseTime := max(e.responseTime, time.Millisecond)
-	cost := time.Duration(float64(responseTime) * (1 + load) * (0.95 + rand.Float64()/10))
-	if waiting > 0 {
-		cost += responseTime * time.Duration(waiting) / time.Duration(max(limit, 1))
+		return false
 	}
-	if e.target.Zone != g.config.Zone {
-		cost += crossZonePenalty
+	if e.target.ID == primary.Target {
+		return valid && !e.pastLeavingGrace(now)
 	}
-	if isPrimary {
-		cost += primaryPenalty
+	if now.Before(e.backoffUntil) && !g.caughtUp(e, now, request.MinPosition) {
+		return false
 	}
-	return cost, true
+	return !request.MinPosition.IsZero() && status.Role == rosemary.RoleReplica && !e.leaving
 }
 
 // acquireFrom takes a connection to e. It returns neither a lease nor a refusal if
@@ -290,12 +273,21 @@
 	answers, sent, err := l.pooled.conn.Exchange(deadline, statements...)
 	if err != nil {
 		l.endpoint.requestSample()
+		l.observeOutcome(true)
 		return answers, sent, err
 	}
 	l.observeAnswer(answers[len(answers)-1], sentAt, time.Since(started))
 	return answers, sent, nil
 }
 
+// observeOutcome records whether an exchange failed.
+func (l *ConnLease) observeOutcome(failed bool) {
+	g := l.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.endpoint.reliability = l.endpoint.reliability.WithOutcome(failed, g.config.Clock.Now())
+}
+
 // observeAnswer records the position or the failure of an answer. Only successes,
 // which have a digest, count for the mean response time.
 func (l *ConnLease) observeAnswer(answer rosemary.Answer, sentAt time.Time, took time.Duration) {
@@ -319,6 +311,10 @@
 	if l.term == 0 {
 		e.observeApplied(answer.Position, g.config.Clock.Now())
 	}
+	failed := answer.Failure == rosemary.FailureExecution || answer.Failure == rosemary.FailureTimeout
+	if failed || answer.Digest != "" {
+		e.reliability = e.reliability.WithOutcome(failed, g.config.Clock.Now())
+	}
 	if answer.Digest != "" {
 		e.responseTime += time.Duration(responseTimeWeight * float64(took-e.responseTime))
 	}
@@ -356,7 +352,12 @@
 	}
 }
 
-func noTargetRefusal(request Request) *rosemary.Refusal {
+// noTargetRefusal refuses a request that no target could serve in time. If it is for want
+// of a primary, its client is told when one is expected.
+func (g *Group) noTargetRefusal(request Request) *rosemary.Refusal {
+	g.mu.Lock()
+	retryAfter := g.outage.ReturnAfter(g.config.Clock.Now(), rand.Float64())
+	g.mu.Unlock()
 	kind, message := rosemary.KindNoReplica, "no target could serve the read before its deadline"
 	if request.Primary {
 		kind, message = rosemary.KindNoPrimary, "no primary could be verified before the deadline"
@@ -366,6 +367,6 @@
 		Outcome:    rosemary.OutcomeNotRun,
 		Message:    message,
 		Remedy:     "retry; if this persists, check the group's targets",
-		RetryAfter: rosegroup.PrimaryLeaseTime,
+		RetryAfter: retryAfter,
 	}
 }
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -16,9 +17,6 @@
 	// fullBackoff is how long a pool opens no connections after its target
 	// rejected one because it had none left.
 	fullBackoff = 100 * time.Millisecond
-	// overloadThreshold is how long the queue must have been non-empty for the
-	// pool to count as overloaded.
-	overloadThreshold = 300 * time.Millisecond
 	// maxConnIdle is how long connections beyond half of the proxy's share may
 	// stay idle.
 	maxConnIdle = 2 * time.Second
@@ -34,8 +32,8 @@
 	idleSince    time.Time
 }
 
-// pool holds the connections to one target. Waiting requests are ordered by
-// priority, then by deadline.
+// pool holds the connections to one target. rosedecision decides which requests
+// wait, and in which order.
 type pool struct {
 	mu   sync.Mutex
 	idle []*pooledConn
@@ -60,12 +58,8 @@
 
 // waiter is a request that waits for a connection.
 type waiter struct {
-	priority int
-	deadline time.Time
-	// softDeadline is when the answer should be there.
-	softDeadline time.Time
-	sequence     uint64
-	index        int
+	turn  rosedecision.Turn
+	index int
 	// granted receives a connection, or the right to open one.
 	granted chan grant
 }
@@ -100,15 +94,13 @@
 		p.queuedSince = time.Now()
 	}
 	p.sequence++
-	w := &waiter{
-		priority: request.Priority, deadline: request.Deadline, softDeadline: request.SoftDeadline, sequence: p.sequence,
-		granted: make(chan grant, 1),
-	}
-	if !time.Now().Before(w.softDeadline) {
+	turn := rosedecision.Turn{Priority: request.Priority, Deadline: request.Deadline, SoftDeadline: request.SoftDeadline, Sequence: p.sequence}
+	if !time.Now().Before(turn.SoftDeadline) {
 		// The request was late before it was queued, so don't shed it for a
 		// delay that isn't the queue's.
-		w.softDeadline = w.deadline
+		turn.SoftDeadline = turn.Deadline
 	}
+	w := &waiter{turn: turn, granted: make(chan grant, 1)}
 	heap.Push(&p.waiting, w)
 	return nil, false, w
 }
@@ -250,7 +242,8 @@
 func (p *pool) nextWaiter() *waiter {
 	for len(p.waiting) > 0 {
 		w := heap.Pop(&p.waiting).(*waiter)
-		if !p.overloaded() || time.Now().Before(w.softDeadline) {
+		now := time.Now()
+		if !w.turn.Shed(p.queue(now), now) {
 			return w
 		}
 		w.granted <- grant{shed: true}
@@ -259,12 +252,6 @@
 	return nil
 }
 
-// overloaded reports whether the queue has been non-empty for too long to be a
-// short burst. The lock must be held.
-func (p *pool) overloaded() bool {
-	return !p.queuedSince.IsZero() && time.Since(p.queuedSince) > overloadThreshold
-}
-
 // flush closes the idle connections and has every waiter choose a target again.
 func (p *pool) flush() {
 	p.mu.Lock()
@@ -302,49 +289,37 @@
 	return p.open - len(p.idle), len(p.waiting), p.limit, p.meanHoldTime
 }
 
-// admit estimates the wait of a new request, and reports whether it ends before the
-// deadline or, under overload, before the soft deadline.
+// admit estimates the wait of a new request, and reports whether it is worth queueing.
 func (p *pool) admit(request Request) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wait := p.estimateWait(request.Priority)
-	limit := request.Deadline
-	if p.overloaded() && time.Now().Before(request.SoftDeadline) {
-		limit = request.SoftDeadline
+	now := time.Now()
+	queue := p.queue(now)
+	turn := rosedecision.Turn{Priority: request.Priority, Deadline: request.Deadline, Sequence: p.sequence + 1}
+	for _, w := range p.waiting {
+		if w.turn.Before(turn) {
+			queue.Ahead++
+		}
 	}
-	return wait, wait <= time.Until(limit)
+	return queue.Wait(), queue.Admits(request.SoftDeadline, request.Deadline, now)
 }
 
-// estimateWait estimates the wait of a new request of the given priority. The lock
-// must be held.
-func (p *pool) estimateWait(priority int) time.Duration {
-	if len(p.idle) > 0 || p.open < p.limit {
-		return 0
+// queue returns what is known of the queue at now, without a new request's place. The
+// lock must be held.
+func (p *pool) queue(now time.Time) rosedecision.Queue {
+	queue := rosedecision.Queue{Idle: len(p.idle), Open: p.open, Limit: p.limit, HoldTime: p.meanHoldTime}
+	if !p.queuedSince.IsZero() {
+		queue.QueuedFor = now.Sub(p.queuedSince)
 	}
-	ahead := 1
-	for _, w := range p.waiting {
-		if w.priority <= priority {
-			ahead++
-		}
-	}
-	return time.Duration(float64(ahead) / float64(p.limit) * float64(p.meanHoldTime))
+	return queue
 }
 
-// waiterHeap orders waiters by priority, then by deadline.
+// waiterHeap orders waiters by their turns.
 type waiterHeap []*waiter
 
 func (h waiterHeap) Len() int { return len(h) }
 
-func (h waiterHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	if !a.deadline.Equal(b.deadline) {
-		return a.deadline.Before(b.deadline)
-	}
-	return a.sequence < b.sequence
-}
+func (h waiterHeap) Less(i, j int) bool { return h[i].turn.Before(h[j].turn) }
 
 func (h waiterHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/pkg/rosefleet/pool_test.go
+++ b/pkg/rosefleet/pool_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -60,7 +61,7 @@
 		c := qt.New(t)
 		p, conn := fullPool()
 		_, _, late := p.take(request(1, 100*time.Millisecond, time.Second))
-		time.Sleep(overloadThreshold + time.Millisecond)
+		time.Sleep(rosedecision.OverloadThreshold + time.Millisecond)
 		_, _, inTime := p.take(request(1, 100*time.Millisecond, time.Second))
 		p.put(conn)
 		g, _ := received(late)
@@ -75,7 +76,7 @@
 		c := qt.New(t)
 		p, conn := fullPool()
 		_, _, w := p.take(request(1, 100*time.Millisecond, time.Second))
-		time.Sleep(overloadThreshold / 2)
+		time.Sleep(rosedecision.OverloadThreshold / 2)
 		p.put(conn)
 		g, _ := received(w)
 		c.Check(g.conn, qt.Equals, conn)
@@ -89,7 +90,7 @@
 		c := qt.New(t)
 		p, conn := fullPool()
 		_, _, w := p.take(request(1, -time.Millisecond, time.Second))
-		time.Sleep(overloadThreshold + time.Millisecond)
+		time.Sleep(rosedecision.OverloadThreshold + time.Millisecond)
 		p.put(conn)
 		g, _ := received(w)
 		c.Check(g.conn, qt.Equals, conn)
@@ -105,7 +106,7 @@
 		}
 		_, worthwhile := p.admit(request(1, 100*time.Millisecond, time.Minute))
 		c.Check(worthwhile, qt.IsTrue, qt.Commentf("short burst"))
-		time.Sleep(overloadThreshold + time.Millisecond)
+		time.Sleep(rosedecision.OverloadThreshold + time.Millisecond)
 		wait, worthwhile := p.admit(request(1, 100*time.Millisecond, time.Minute))
 		c.Check(worthwhile, qt.IsFalse)
 		c.Check(wait > 100*time.Millisecond, qt.IsTrue)
@@ -119,7 +120,7 @@
 		c := qt.New(t)
 		p, conn := fullPool()
 		_, _, w := p.take(request(1, 10*time.Millisecond, time.Second))
-		time.Sleep(overloadThreshold - fullBackoff/2)
+		time.Sleep(rosedecision.OverloadThreshold - fullBackoff/2)
 		p.markFull()
 		p.drop(conn)
 		time.Sleep(fullBackoff + time.Millisecond)
