roserelay: leave a silent home, prefer the least busy

Change: a read, or the beginning of a transaction, leaves a home whose link has been silent for 0.5 s and is tried elsewhere. Homes are ordered by their answer times and requests in flight, those of other zones only if they are much faster. Heartbeats are sent only while nothing is received.

--- a/internal/rosenode/directory.go
+++ b/internal/rosenode/directory.go
@@ -26,9 +26,8 @@
 // groupHomes are the homes of one group as one proxy sees them.
 type groupHomes struct {
 	homes []rosemary.Member
-	// sameZone and otherZones are the homes in this proxy's availability zone and in
-	// others.
-	sameZone, otherZones []rosemary.Member
+	// sameZone are the homes in this proxy's availability zone.
+	sameZone []rosemary.Member
 	// home is set if this proxy is one of them.
 	home bool
 	// limits are this proxy's connection limits if it serves the group.
@@ -47,8 +46,6 @@
 		for _, m := range entry.homes {
 			if m.Zone == self.Zone {
 				entry.sameZone = append(entry.sameZone, m)
-			} else {
-				entry.otherZones = append(entry.otherZones, m)
 			}
 			if entry.home && m.Proxy != self.Proxy {
 				together[m.Proxy] = true
@@ -63,6 +60,15 @@
 	return d
 }
 
+// allHomes returns the homes of all groups.
+func (d *directory) allHomes() []rosemary.Member {
+	var all []rosemary.Member
+	for _, entry := range d.groups {
+		all = append(all, entry.homes...)
+	}
+	return all
+}
+
 // outdated reports whether the directory was worked out from other members, another
 // configuration or other slots.
 func (d *directory) outdated(members []rosemary.Member, configuration *rosemary.Configuration, slots map[string]int) bool {
@@ -93,6 +99,7 @@
 	next := newDirectory(n.config.Self, members, configuration, slots)
 	n.directory.Store(next)
 	n.mesh.SetCompanions(next.companions)
+	n.relayClient.Retain(next.allHomes())
 	klog.InfoS("homes worked out", "configuration", next.version, "members", len(members), "groups", len(next.groups), "companions", len(next.companions))
 	return next
 }
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/roserelay"
 )
@@ -138,22 +139,30 @@
 	return homes
 }
 
-// RelayHomes returns the live home proxies that tasks of a group are relayed to,
-// those of this proxy's zone first. It returns none if this proxy is a home.
+// RelayHomes returns the live home proxies that tasks of a group are relayed to, in the
+// order in which to try them. It returns none if this proxy is a home.
 func (n *Node) RelayHomes(group string) []rosemary.Member {
 	entry, known := n.homesOf(group)
 	if !known || entry.home {
 		return nil
 	}
-	sameZone, otherZones := n.mesh.FilterLive(entry.sameZone), n.mesh.FilterLive(entry.otherZones)
-	if n.zonePartitioned.Load() && len(sameZone) > 0 {
-		// The others can't be reached.
-		otherZones = nil
+	live := n.mesh.FilterLive(entry.homes)
+	shuffle(live)
+	homes := make([]rosedecision.Home, 0, len(live))
+	for _, m := range live {
+		sameZone := m.Zone == n.config.Self.Zone
+		if !sameZone && n.zonePartitioned.Load() && len(entry.sameZone) > 0 {
+			// It can't be reached.
+			continue
+		}
+		homes = append(homes, rosedecision.Home{Member: m, SameZone: sameZone, Record: n.relayClient.Record(m)})
+	}
+	homes = rosedecision.OrderHomes(homes, time.Now())
+	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts))
+	for i := range ordered {
+		ordered[i] = homes[i].Member
 	}
-	shuffle(sameZone)
-	shuffle(otherZones)
-	ordered := append(sameZone, otherZones...)
-	return ordered[:min(len(ordered), maxRelayAttempts)]
+	return ordered
 }
 
 func shuffle(members []rosemary.Member) {
--- a/pkg/roserelay/client.go
+++ b/pkg/roserelay/client.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
@@ -56,6 +57,8 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// records are what relaying has shown of the homes, by address.
+	records map[string]rosedecision.HomeRecord
 }
 
 // link is the WebSocket connection to one home proxy.
@@ -90,10 +93,62 @@
 	}
 	return &Client{
 		config: config, http: &http.Client{Transport: transport}, context: ctx, cancel: cancel,
-		links: make(map[string]*link),
+		links: make(map[string]*link), records: make(map[string]rosedecision.HomeRecord),
 	}
 }
 
+// Record returns what relaying has shown of a home.
+func (c *Client) Record(home rosemary.Member) rosedecision.HomeRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.records[home.Address]
+}
+
+// Retain forgets the homes that aren't among those given, and whose links have ended.
+func (c *Client) Retain(homes []rosemary.Member) {
+	kept := make(map[string]bool, len(homes))
+	for _, h := range homes {
+		kept[h.Address] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, l := range c.links {
+		if !kept[address] && l.canReplace() {
+			delete(c.links, address)
+		}
+	}
+	for address := range c.records {
+		if !kept[address] && c.links[address] == nil {
+			delete(c.records, address)
+		}
+	}
+}
+
+// update changes the record of a home.
+func (c *Client) update(address string, change func(rosedecision.HomeRecord) rosedecision.HomeRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records[address] = change(c.records[address])
+}
+
+// call sends an order to a home, and records how the home answers.
+func (c *Client) call(ctx context.Context, l *link, order *rosewire.Order, task rosecaller.Task) (rosecaller.Result, uint64, Delivery) {
+	c.update(l.address, func(r rosedecision.HomeRecord) rosedecision.HomeRecord { return r.WithInFlight(r.InFlight + 1) })
+	started := time.Now()
+	result, number, delivery := l.execute(ctx, order, task)
+	c.update(l.address, func(r rosedecision.HomeRecord) rosedecision.HomeRecord {
+		r = r.WithInFlight(r.InFlight - 1)
+		switch {
+		case delivery == Answered:
+			return r.WithAnswer(time.Since(started))
+		case ctx.Err() == nil:
+			return r.WithLoss(time.Now())
+		}
+		return r
+	})
+	return result, number, delivery
+}
+
 // Close closes the connections to home proxies.
 func (c *Client) Close() { c.cancel() }
 
@@ -103,7 +158,7 @@
 	if err != nil {
 		return rosecaller.Result{}, NotSent
 	}
-	result, _, delivery := l.execute(ctx, &rosewire.Order{Do: doRun}, task)
+	result, _, delivery := c.call(ctx, l, &rosewire.Order{Do: doRun}, task)
 	return result, delivery
 }
 
@@ -113,7 +168,7 @@
 	if err != nil {
 		return nil, rosecaller.Result{}, NotSent
 	}
-	result, number, delivery := l.execute(ctx, &rosewire.Order{Do: doBegin}, task)
+	result, number, delivery := c.call(ctx, l, &rosewire.Order{Do: doBegin}, task)
 	if delivery == Unanswered {
 		l.sendRollback(number)
 	}
@@ -210,6 +265,7 @@
 	if err != nil {
 		klog.InfoS("home not reached", "home", home.Proxy, "err", roselog.ErrorMessage(err))
 		l.failedAt, l.err = time.Now(), trace.ConnectionProblem(err, "connecting to home proxy %s", home.Proxy)
+		c.update(l.address, func(r rosedecision.HomeRecord) rosedecision.HomeRecord { return r.WithLoss(time.Now()) })
 		l.cancel()
 		close(l.dialed)
 		return
@@ -243,8 +299,8 @@
 	}
 }
 
-// sendHeartbeats sends heartbeats while the link is busy, and ends the link if
-// nothing is received for heartbeatTimeout.
+// sendHeartbeats sends heartbeats while the link is busy but nothing is received, and ends
+// the link if that lasts for heartbeatTimeout.
 func (l *link) sendHeartbeats() {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -274,6 +330,9 @@
 			l.cancel()
 			return
 		}
+		if time.Since(lastReceivedAt) < heartbeatInterval {
+			continue
+		}
 		if err := send(l.context, l.conn, rosewire.Message{Order: &rosewire.Order{Do: doHeartbeat}}); err != nil {
 			l.cancel()
 			return
@@ -311,15 +370,9 @@
 		l.cancel()
 		return rosecaller.Result{}, number, Unanswered
 	}
-	timer := time.NewTimer(time.Until(task.Deadline) + resultMargin)
-	defer timer.Stop()
-	select {
-	case result := <-pending:
-		if result != nil {
-			return decodeResult(result), number, Answered
-		}
-	case <-timer.C:
-	case <-ctx.Done():
+	result := l.awaitResult(ctx, pending, order.Do, task)
+	if result != nil {
+		return decodeResult(result), number, Answered
 	}
 	l.mu.Lock()
 	delete(l.pending, number)
@@ -327,6 +380,42 @@
 	return rosecaller.Result{}, number, Unanswered
 }
 
+// awaitResult waits for the result of an order until shortly after the task's deadline. An
+// order that may be repeated elsewhere isn't waited for on a link that has fallen silent. It
+// returns nil if there is none.
+func (l *link) awaitResult(ctx context.Context, pending <-chan *rosewire.Result, do string, task rosecaller.Task) *rosewire.Result {
+	timer := time.NewTimer(time.Until(task.Deadline) + resultMargin)
+	defer timer.Stop()
+	var silence <-chan time.Time
+	if do == doBegin || do == doRun && !task.Statement.Writes {
+		ticker := time.NewTicker(silenceTimeout / 4)
+		defer ticker.Stop()
+		silence = ticker.C
+	}
+	sentAt := time.Now()
+	for {
+		select {
+		case result := <-pending:
+			return result
+		case <-silence:
+			if time.Since(sentAt) >= silenceTimeout && l.silentFor() >= silenceTimeout {
+				return nil
+			}
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// silentFor returns how long nothing has been received on the link.
+func (l *link) silentFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.lastReceivedAt)
+}
+
 // sendRollback has the home proxy roll back a transaction. No result is
 // awaited.
 func (l *link) sendRollback(number uint64) {
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -18,10 +18,13 @@
 
 const (
 	// heartbeatInterval is the interval between heartbeats on a busy link, one
-	// with pending calls or open transactions.
-	heartbeatInterval = 400 * time.Millisecond
+	// with pending calls or open transactions, while nothing is received on it.
+	heartbeatInterval = 200 * time.Millisecond
+	// silenceTimeout is how long a busy link may be silent before what can be repeated
+	// is tried elsewhere.
+	silenceTimeout = 500 * time.Millisecond
 	// heartbeatTimeout closes a busy link on which nothing was received for
-	// three heartbeat intervals.
+	// six heartbeat intervals.
 	heartbeatTimeout = 1200 * time.Millisecond
 	// sendTimeout bounds the time to send one message.
 	sendTimeout = 2 * time.Second
--- a/pkg/roserelay/relay_test.go
+++ b/pkg/roserelay/relay_test.go
@@ -215,3 +215,29 @@
 		c.Check(open.Execute(context.Background(), task(rosemary.StatementCommit, "b3")).Refusal.Kind, qt.Equals, rosemary.KindAborted)
 	})
 }
+
+// TestReadLeavesSilentHome guards against reads that wait for a home that has fallen silent
+// until their deadline, too late to be tried elsewhere. A write waits, as it may have run.
+func TestReadLeavesSilentHome(t *testing.T) {
+	tests := []struct {
+		kind   rosemary.StatementKind
+		writes bool
+	}{{rosemary.StatementRead, false}, {rosemary.StatementWrite, true}}
+	for _, test := range tests {
+		t.Run(test.kind.String(), func(t *testing.T) {
+			runRelay(t, 0, func(c *qt.C, _ *executor, network *rosenet.Network, _ *roserelay.Server, client *roserelay.Client) {
+				_, delivery := client.Run(context.Background(), home, task(test.kind, "first"))
+				c.Assert(delivery, qt.Equals, roserelay.Answered)
+				network.SetBlocked(func(_, _ rosenet.Host) bool { return true })
+				cut := task(test.kind, "cut")
+				cut.Deadline = time.Now().Add(time.Second)
+				sentAt := time.Now()
+				_, delivery = client.Run(context.Background(), home, cut)
+				c.Check(delivery, qt.Equals, roserelay.Unanswered)
+				left := cut.Deadline.Sub(sentAt) - time.Since(sentAt)
+				c.Check(left > 300*time.Millisecond, qt.Equals, !test.writes, qt.Commentf("%v left", left))
+				c.Check(client.Record(home).Lost(time.Now()), qt.IsTrue)
+			})
+		})
+	}
+}
