rosenode: the store is read by one proxy and heard by all; locks follow homes

Change 1: above 12 proxies one, the root, reads targets and configuration; the readers of each zone ask it, the others of a zone its readers. What is heard has its age and the store's epoch; a proxy whose news is too old reads the store itself. An unchanged list of targets is confirmed by its digest. A proxy that is home to no group lists the members every 6 s; failed calls back off.

Change 2: a holder that may no longer claim a lock releases it after a second to the first that may.

--- a/internal/rosenode/directory.go
+++ b/internal/rosenode/directory.go
@@ -17,10 +17,10 @@
 	version int64
 	slots   map[string]int
 	groups  map[string]groupHomes
-	// companions are the other homes of the groups that this proxy is a home of, sorted.
+	// companions are the other homes of the groups that this proxy is a home of, and the
+	// readers of the store that it asks, sorted.
 	companions []rosemary.ProxyID
-	// readers are the proxies of this proxy's zone that read the store for the others.
-	readers []rosemary.ProxyID
+	reading    reading
 }
 
 // groupHomes are the homes of one group as one proxy sees them.
@@ -53,6 +53,10 @@
 		}
 		d.groups[name] = entry
 	}
+	d.reading = newReading(self, members)
+	for _, id := range d.reading.asked {
+		together[id] = true
+	}
 	for id := range together {
 		d.companions = append(d.companions, id)
 	}
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -18,52 +18,69 @@
 	// awaitTimeout bounds one wait for a new configuration, and thus the delay of
 	// a new version if the watch stalls.
 	awaitTimeout = 1800 * time.Millisecond
-	// retryDelay is the delay after a failed call to the store.
-	retryDelay = 150 * time.Millisecond
+	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the store,
+	// which doubles with each further one.
+	minRetryDelay = 150 * time.Millisecond
+	maxRetryDelay = 1200 * time.Millisecond
+	// newsCheckInterval is how often a proxy that hears of the store from readers checks
+	// whether their news has become too old.
+	newsCheckInterval = 250 * time.Millisecond
 	// fetchInterval is how often the whole configuration is read in addition to
 	// the watch, as the store may drop the notification of a change.
 	fetchInterval = 10 * time.Second
 	// storeReadTimeout bounds one read of the targets or of the configuration.
 	storeReadTimeout = 1500 * time.Millisecond
-	// maxUnscaledProxies is the number of proxies up to which they call the store
-	// at their normal intervals.
-	maxUnscaledProxies = 12.0
-	// maxIntervalScale bounds the factor by which more proxies lengthen
-	// the intervals.
-	maxIntervalScale = 4.0
 	// controlConnections is the number of a target's connections that are
 	// reserved for status and control calls.
 	controlConnections = 3
 )
 
-// followConfiguration applies each new configuration in the store.
+// followConfiguration applies each new configuration in the store. A proxy that hears of it
+// from readers reads it only if their news is too old.
 func (n *Node) followConfiguration(ctx context.Context) {
 	revision, fetchedAt := int64(0), time.Time{}
 	epoch := n.config.Store.Epoch()
-	lost := false
+	lost, retryDelay := false, minRetryDelay
 	for ctx.Err() == nil {
-		var configuration *rosemary.Configuration
-		var err error
 		if newest := n.config.Store.Epoch(); newest != epoch {
 			// Revisions of an earlier epoch are void.
 			epoch, revision = newest, 0
 			n.locks.RefreshNow()
 		}
-		if revision == 0 || time.Since(fetchedAt) > n.scaleInterval(fetchInterval) {
+		asksReaders := len(n.askedReaders()) > 0
+		if asksReaders && n.configurationAge() <= maxConfigurationAge {
+			revision = 0
+			roseclock.Sleep(ctx, newsCheckInterval)
+			continue
+		}
+		var err error
+		var confirmedAt time.Time
+		sentAt := n.config.Clock.Now()
+		var configuration *rosemary.Configuration
+		if revision == 0 || asksReaders || time.Since(fetchedAt) > fetchInterval {
 			callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 			configuration, revision, err = n.config.Configurations.Fetch(callCtx)
 			cancel()
-			fetchedAt = time.Now()
+			fetchedAt, confirmedAt = time.Now(), sentAt
 		} else {
-			configuration, revision, err = n.config.Configurations.Await(ctx, revision, n.scaleInterval(awaitTimeout))
+			configuration, revision, err = n.config.Configurations.Await(ctx, revision, awaitTimeout)
+			confirmedAt = sentAt
+			if answered := sentAt.Add(awaitTimeout); configuration == nil && !n.config.Clock.Now().Before(answered) {
+				// The store has waited before it answered.
+				confirmedAt = answered
+			}
 		}
 		switch {
 		case err == nil:
 			if lost {
 				klog.InfoS("store regained", "for", "configuration")
 			}
-			lost = false
+			lost, retryDelay = false, minRetryDelay
 			n.apply(configuration)
+			n.confirmConfiguration(confirmedAt)
+			if asksReaders {
+				roseclock.Sleep(ctx, awaitTimeout)
+			}
 			continue
 		case errors.Is(err, rosemary.ErrCompacted):
 			klog.InfoS("configuration read anew", "why", roselog.ErrorMessage(err))
@@ -73,17 +90,10 @@
 		}
 		revision = 0
 		roseclock.Sleep(ctx, retryDelay)
+		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
-// scaleInterval lengthens an interval if there are many proxies, so that the load
-// on the store grows more slowly than their number. New configurations don't
-// depend on the intervals alone, as proxies also fetch them from each other.
-func (n *Node) scaleInterval(interval time.Duration) time.Duration {
-	factor := float64(len(n.locks.Members())) / maxUnscaledProxies
-	return time.Duration(float64(interval) * min(max(factor, 1), maxIntervalScale))
-}
-
 // apply puts a configuration into force if it is newer than the current one.
 func (n *Node) apply(configuration *rosemary.Configuration) {
 	if configuration == nil {
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -98,6 +98,8 @@
 	targetsLoaded bool
 	// targetsReadAt is when the read of registrations was sent.
 	targetsReadAt time.Time
+	// configurationAt is when the configuration in force was last known to be the newest.
+	configurationAt time.Time
 	// context is the context of Run, nil before Run.
 	context    context.Context
 	goroutines sync.WaitGroup
@@ -177,7 +179,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
@@ -377,6 +379,18 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *Metrics { return n.metrics }
 
+// ReadsStore reports whether this proxy reads targets and configuration for the others.
+func (n *Node) ReadsStore() bool { return n.readsForOthers() }
+
+// AskedReaders returns the proxies that this one asks for what they know of the store.
+func (n *Node) AskedReaders() []rosemary.ProxyID { return n.askedReaders() }
+
+// HoldsLock reports whether this proxy holds the failover lock of a group.
+func (n *Node) HoldsLock(group string) bool {
+	_, _, holds := n.locks.Holds(group)
+	return holds
+}
+
 // LinkTraffic returns the number of other proxies that this one is linked to, and the
 // traffic sent to them so far.
 func (n *Node) LinkTraffic() (int, rosepeer.Traffic) {
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -201,6 +201,8 @@
 		return rosewire.Reply{Yes: true, Known: true, Facts: n.recentStatuses()}
 	case rosepeer.AboutTargets:
 		return n.describeTargets(question)
+	case rosepeer.AboutStore:
+		return n.describeStore(question)
 	}
 	n.mu.Lock()
 	g := n.groups[question.Group]
--- a/internal/rosenode/targets.go
+++ b/internal/rosenode/targets.go
@@ -14,6 +14,9 @@
 const (
 	// targetsInterval is how often a home proxy reads the list of targets.
 	targetsInterval = 1400 * time.Millisecond
+	// readerTargetsInterval is how often a reader does, so that the list is recent enough
+	// for the proxies that hear of it.
+	readerTargetsInterval = time.Second
 	// nonHomeIntervalFactor lengthens targetsInterval for a proxy that is home
 	// to no group, as it needs the targets only when no home proxy is reachable.
 	nonHomeIntervalFactor = 6
@@ -22,23 +25,51 @@
 	reregistrationTime = 2500 * time.Millisecond
 )
 
-// targetsReadInterval returns the interval between reads of the targets. Once
-// they have been read and the groups are known, it is longer for a proxy that serves
-// no group.
-func (n *Node) targetsReadInterval() time.Duration {
+// serves reports whether this proxy is home to a group, or serves one temporarily.
+func (n *Node) serves() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.targetsLoaded || len(n.groups) == 0 {
-		return targetsInterval
-	}
 	for _, g := range n.groups {
 		if g.home || g.servedTemporarily() {
-			return targetsInterval
+			return true
 		}
 	}
+	return false
+}
+
+// loadedTargets reports whether the targets have been read and the groups are known.
+func (n *Node) loadedTargets() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.targetsLoaded && len(n.groups) > 0
+}
+
+// targetsReadInterval returns the interval between reads of the targets. Once
+// they have been read and the groups are known, it is longer for a proxy that serves
+// no group.
+func (n *Node) targetsReadInterval() time.Duration {
+	switch {
+	case n.readsForOthers():
+		return readerTargetsInterval
+	case !n.loadedTargets() || n.serves():
+		return targetsInterval
+	}
 	return nonHomeIntervalFactor * targetsInterval
 }
 
+// hearsOfTargets reports whether what this proxy has heard of the targets from readers is
+// recent enough.
+func (n *Node) hearsOfTargets() bool {
+	if len(n.askedReaders()) == 0 || !n.loadedTargets() {
+		return false
+	}
+	limit := maxIdleTargetsAge
+	if n.serves() {
+		limit = maxTargetsAge
+	}
+	return n.targetsAge() <= limit
+}
+
 // followTargets updates the groups with the targets registered in the store.
 func (n *Node) followTargets(ctx context.Context) {
 	failed := false
@@ -79,14 +110,23 @@
 	}
 }
 
-// awaitTargetsRead waits until the targets are due to be read again.
+// awaitTargetsRead waits until the targets are due to be read again. For a proxy that hears
+// of them from readers that is once their news is too old.
 func (n *Node) awaitTargetsRead(ctx context.Context) {
 	timer := time.NewTimer(n.targetsReadInterval())
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.readTargetsNow:
-	case <-ctx.Done():
+	for {
+		select {
+		case <-timer.C:
+		case <-n.readTargetsNow:
+			return
+		case <-ctx.Done():
+			return
+		}
+		if !n.hearsOfTargets() {
+			return
+		}
+		timer.Reset(newsCheckInterval)
 	}
 }
 
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -272,10 +272,11 @@
 
 // observePossibleRestart records that the target may have restarted, which would
 // have ended its fence.
-func (g *Group) observePossibleRestart(e *endpoint) {
+func (g *Group) observePossibleRestart(e *endpoint, why string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.endpoints[e.target.ID] == e {
+		klog.InfoS("target may have restarted", "group", g.config.Name, "target", e.target.ID, "why", why)
 		g.primaryTracker.ObservePossibleRestart(e.target.ID)
 	}
 }
--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -142,7 +142,7 @@
 		if !reused {
 			if !hadOpen {
 				// Without an open connection a restart goes unnoticed.
-				e.group.observePossibleRestart(e)
+				e.group.observePossibleRestart(e, "no connection was open")
 			}
 			var err error
 			if c, err = e.dial(ctx); err != nil {
@@ -166,7 +166,7 @@
 		}
 		// An idle connection may be dead while the target is alive. Close the
 		// others too, and try a new one.
-		e.group.observePossibleRestart(e)
+		e.group.observePossibleRestart(e, "an idle connection failed, a new one works")
 		e.pool.flush()
 	}
 }
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -26,6 +26,9 @@
 	// AboutTargets asks for the registered targets that the peer knows, if they were read
 	// from the store later than those of the sender.
 	AboutTargets = "Targets"
+	// AboutStore asks for what the peer has read from the store: the registered targets
+	// and the version of the configuration, with their ages.
+	AboutStore = "Store"
 	// AboutLockReleased tells the peer that the sender has released a lock which the
 	// peer is the first to claim.
 	AboutLockReleased = "LockReleased"
--- a/pkg/rosesupervisor/lock_claim.go
+++ b/pkg/rosesupervisor/lock_claim.go
@@ -95,6 +95,36 @@
 	if !settled || !otherZones || !l.config.PrimaryAnswers(group) {
 		return
 	}
+	l.releaseTo(ctx, group, revision, order, "the primary is in this proxy's zone")
+}
+
+// releaseOthers releases the locks of groups that this proxy may no longer claim, as it no
+// longer uses their targets and couldn't replace their primaries.
+func (l *LockManager) releaseOthers(ctx context.Context, claimable []string) {
+	now := l.config.Clock.Now()
+	due := make(map[string]int64)
+	l.mu.Lock()
+	for group, claim := range l.held {
+		if slices.Contains(claimable, group) {
+			delete(l.notClaimableSince, group)
+			continue
+		}
+		since, noticed := l.notClaimableSince[group]
+		if !noticed {
+			l.notClaimableSince[group] = now
+		} else if now.Sub(since) >= notClaimableDelay {
+			due[group] = claim.revision
+			delete(l.notClaimableSince, group)
+		}
+	}
+	l.mu.Unlock()
+	for group, revision := range due {
+		l.releaseTo(ctx, group, revision, l.claimOrder(group, l.Members()), "this proxy uses the group's targets no longer")
+	}
+}
+
+// releaseTo releases a lock, and tells the first proxy that may claim it.
+func (l *LockManager) releaseTo(ctx context.Context, group string, revision int64, order []rosemary.Member, why string) {
 	l.mu.Lock()
 	delete(l.held, group)
 	key := l.keyPrefix() + lockPrefix + group
@@ -105,9 +135,13 @@
 		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
 		Deletes:       []string{key},
 	})
-	klog.InfoS("duty handed over", "group", group, "revision", revision, "zone", zone, "to", order[0].Proxy, "err", roselog.ErrorMessage(err))
-	if err == nil && l.config.Peers != nil {
-		l.config.Peers.NotifyLockReleased(ctx, order[0].Proxy, group)
+	var to rosemary.ProxyID
+	if len(order) > 0 {
+		to = order[0].Proxy
+	}
+	klog.InfoS("duty handed over", "group", group, "revision", revision, "why", why, "to", to, "err", roselog.ErrorMessage(err))
+	if err == nil && l.config.Peers != nil && to != "" && to != l.config.Self.Proxy {
+		l.config.Peers.NotifyLockReleased(ctx, to, group)
 	}
 }
 
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -31,7 +31,15 @@
 	// claim a free lock has come; it is a fraction of claimStagger, and a check
 	// makes no call to the store.
 	claimCheckInterval = 100 * time.Millisecond
+	// renewRetryDelay follows a failed renewal of a proxy that holds a lock. Other proxies
+	// double it with each further failure, up to maxRenewRetryDelay.
 	renewRetryDelay    = 200 * time.Millisecond
+	maxRenewRetryDelay = 1600 * time.Millisecond
+	// idleListInterval is how often a proxy that may claim no lock lists the members.
+	idleListInterval = 6 * time.Second
+	// clusterStartScale is the number of members above which urgentRenewInterval is
+	// longer at the start of the cluster, in proportion.
+	clusterStartScale = 24
 	// leaseMargin shortens the lifetime of the lease for its holder, which
 	// stops acting before the store lets another proxy claim its locks.
 	leaseMargin      = 300 * time.Millisecond
@@ -46,6 +54,9 @@
 	// handOverDelay is how long a primary has to be in the holder's own zone
 	// before the holder releases the lock to another proxy.
 	handOverDelay = 6 * time.Second
+	// notClaimableDelay is how long a proxy keeps a lock that it may no longer claim, as
+	// members may come and go.
+	notClaimableDelay = time.Second
 	// abstainDuration is how long a proxy that has promised to abstain claims
 	// no lock.
 	abstainDuration = 2 * time.Second
@@ -124,6 +135,8 @@
 	refreshNow chan struct{}
 
 	mu sync.Mutex
+	// startedAt is when Run began, listedAt when members and locks were last listed.
+	startedAt, listedAt time.Time
 	// listFresh is set while the next listing has to be a fresh one.
 	listFresh bool
 	// epoch is the store's epoch that the fields below belong to.
@@ -141,6 +154,9 @@
 	members []rosemary.Member
 	// freeSince is when the lock of a group was first seen to be free.
 	freeSince map[string]time.Time
+	// notClaimableSince is since when this proxy holds the lock of a group that it may no
+	// longer claim.
+	notClaimableSince map[string]time.Time
 	// storeFailing is set while the store can't be reached to renew or grant a
 	// lease.
 	storeFailing bool
@@ -185,6 +201,8 @@
 		held:       make(map[string]lockClaim),
 		holders:    make(map[string]rosemary.ProxyID),
 		freeSince:  make(map[string]time.Time),
+
+		notClaimableSince: make(map[string]time.Time),
 	}
 }
 
@@ -202,22 +220,52 @@
 // Run renews the lease and claims free locks until ctx ends, and then revokes
 // the lease.
 func (l *LockManager) Run(ctx context.Context) {
-	startupUntil := l.config.Clock.Now().Add(clusterStartTime)
+	startedAt := l.config.Clock.Now()
+	l.mu.Lock()
+	l.startedAt = startedAt
+	l.mu.Unlock()
+	startupUntil := startedAt.Add(clusterStartTime)
 	l.learnEpoch(ctx)
+	retryDelay := renewRetryDelay
 	for ctx.Err() == nil {
 		delay := renewInterval
-		if l.config.PrimaryMissing() || l.config.Clock.Now().Before(startupUntil) {
+		switch {
+		case l.config.PrimaryMissing():
 			delay = urgentRenewInterval
+		case l.config.Clock.Now().Before(startupUntil):
+			delay = l.startupInterval()
 		}
-		if !l.refresh(ctx) {
+		if l.refresh(ctx) {
+			retryDelay = renewRetryDelay
+		} else {
 			l.requestAbstention(ctx)
-			delay = renewRetryDelay
+			delay = retryDelay
+			if !l.holdsAny() {
+				retryDelay = min(2*retryDelay, maxRenewRetryDelay)
+			}
 		}
 		l.waitForRefresh(ctx, delay)
 	}
 	l.release()
 }
 
+// startupInterval returns the interval of renewals while the cluster may be starting. It
+// is longer with many members, most of which claim no lock.
+func (l *LockManager) startupInterval() time.Duration {
+	count := len(l.Members())
+	if count <= clusterStartScale {
+		return urgentRenewInterval
+	}
+	return min(urgentRenewInterval*time.Duration(count)/clusterStartScale, renewInterval)
+}
+
+// holdsAny reports whether this proxy holds a lock.
+func (l *LockManager) holdsAny() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held) > 0
+}
+
 // waitForRefresh waits for delay, or less if this proxy's turn to claim a free
 // lock comes sooner, as claims are staggered more finely than renewals. A failed
 // claim is not repeated before renewRetryDelay.
@@ -268,6 +316,9 @@
 		return false
 	}
 	groups := l.config.Groups()
+	if len(groups) == 0 && !l.holdsAny() && !l.listDue() {
+		return true
+	}
 	listing, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	prefix := l.currentPrefix()
 	required := l.takeFreshListRequirement()
@@ -280,6 +331,9 @@
 		return false
 	}
 	locks := l.applyListing(prefix, items)
+	l.mu.Lock()
+	l.listedAt = l.config.Clock.Now()
+	l.mu.Unlock()
 	l.forgetFreeLocks(groups)
 	if len(groups) > 0 {
 		l.settle(ctx)
@@ -287,9 +341,20 @@
 	for _, group := range groups {
 		l.considerClaim(ctx, group, locks[group])
 	}
+	l.releaseOthers(ctx, groups)
 	return true
 }
 
+// listDue reports whether a proxy that may claim no lock has to list the members: it hasn't
+// for a while, it knows few as the cluster may be starting, or a fresh list is required.
+func (l *LockManager) listDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Clock.Now()
+	starting := now.Sub(l.startedAt) < 2*clusterStartTime
+	return l.listFresh || starting || now.Sub(l.listedAt) >= idleListInterval
+}
+
 // forgetFreeLocks drops the free locks of groups that this proxy may no longer claim,
 // for which it would list the store again and again.
 func (l *LockManager) forgetFreeLocks(claimable []string) {
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -233,13 +233,18 @@
 	// (for how long is the primary of Term not replaced), LastPrimary (which was the
 	// newest primary that the peer knew), ZoneSuspicion (check whether the zone is
 	// cut off), ZoneLoss (no proxy of another zone answers the sender), Targets (send
-	// the registered targets) or Facts (send the sampled target statuses).
+	// the registered targets), Store (send what the peer has read from the store) or
+	// Facts (send the sampled target statuses).
 	About string `cbor:"About"`
 
 	// AgeMs is the age of the list of targets that the sender has; a Question about
 	// Targets with it is only answered with a newer one.
 	AgeMs *uint64 `cbor:"AgeMs,omitempty"`
 
+	// Digest is the digest of the targets that the sender knows; a Question about
+	// Store with it is answered without Targets if the peer's are the same.
+	Digest *uint64 `cbor:"Digest,omitempty"`
+
 	// Group is the group asked about; empty if the question concerns none.
 	Group string `cbor:"Group"`
 
@@ -312,6 +317,10 @@
 	// AgeMs is the time since the read of Targets was sent to the store.
 	AgeMs *uint64 `cbor:"AgeMs,omitempty"`
 
+	// Epoch is the newest epoch of the store that the peer has seen; only in replies
+	// about Store.
+	Epoch *uint64 `cbor:"Epoch,omitempty"`
+
 	// Facts are the target statuses that a Question about Facts or LastPrimary asked
 	// for.
 	Facts []Fact `cbor:"Facts,omitempty"`
@@ -327,10 +336,18 @@
 	// Number is the number of the Question.
 	Number uint64 `cbor:"Number"`
 
-	// Targets are the registered targets that a Question about Targets asked for.
+	// Targets are the registered targets that a Question about Targets or Store asked
+	// for.
 	Targets []Registration `cbor:"Targets,omitempty"`
 
-	// Yes is set if the peer can reach the target or did what was asked.
+	// Version is the configuration in force at the peer; only in replies about Store.
+	Version *uint64 `cbor:"Version,omitempty"`
+
+	// VersionAgeMs is the time since Version was known to be the newest.
+	VersionAgeMs *uint64 `cbor:"VersionAgeMs,omitempty"`
+
+	// Yes is set if the peer can reach the target or did what was asked, or if its
+	// targets have the Digest of a Question about Store.
 	Yes bool `cbor:"Yes"`
 }
 
