rosegroup: keep the lease when a fence ends before its term is seen

A replica may show the end of its fence before the new term, and counted as unfenced from then on, which without an answer of the old primary takes 2.7 s to prove anything.

Change: the last fence seen is kept: if its term has begun within PrimaryLeaseTime of the last status that showed it, the replica counts as if the fence had ended with the term. A possible restart forgets it.

--- a/pkg/rosegroup/primary_tracker.go
+++ b/pkg/rosegroup/primary_tracker.go
@@ -65,6 +65,10 @@
 	// lastUnfencedAt is when the newest status that showed the target unfenced was
 	// requested, also from an earlier run of it.
 	lastUnfencedAt time.Time
+	// lastFencedTerm is the term of the last fence seen, and lastFencedAt when the newest
+	// status that showed it was requested.
+	lastFencedTerm uint64
+	lastFencedAt   time.Time
 }
 
 // timedPosition is a position that the primary had reached at a time.
@@ -106,6 +110,8 @@
 	}
 	if status.PausedTerm == 0 {
 		s.lastUnfencedAt = sentAt
+	} else {
+		s.lastFencedTerm, s.lastFencedAt = status.PausedTerm, sentAt
 	}
 	switch {
 	case !s.unfenced():
@@ -116,9 +122,20 @@
 	case s.unfencedSince.IsZero():
 		s.unfencedSince = sentAt
 	}
+	if s.fencedTermBegan() && s.unfencedSince.After(sentAt.Add(-minUnfencedTime)) {
+		s.unfencedSince = sentAt.Add(-minUnfencedTime)
+	}
 	t.recordProof()
 }
 
+// fencedTermBegan reports whether the target, unfenced now, was fenced so lately for a term
+// that has begun that no later promotion can have been ordered: that takes a fence for a
+// later term, seen neither then nor now, and PrimaryLeaseTime after it. A replica may show
+// the end of its fence before the new term.
+func (s *targetState) fencedTermBegan() bool {
+	return s.unfenced() && s.lastFencedTerm > 0 && s.status.Term >= s.lastFencedTerm && s.sentAt.Sub(s.lastFencedAt) < PrimaryLeaseTime
+}
+
 // recordProof updates lastProvenAt.
 func (t *PrimaryTracker) recordProof() {
 	primary, known := t.Primary()
@@ -214,6 +231,7 @@
 func (t *PrimaryTracker) ObservePossibleRestart(id rosemary.TargetID) {
 	if s := t.targets[id]; s != nil {
 		s.unfencedSince = time.Time{}
+		s.lastFencedTerm = 0
 		s.seen = false
 	}
 }
--- a/pkg/rosegroup/primary_tracker_test.go
+++ b/pkg/rosegroup/primary_tracker_test.go
@@ -191,6 +191,39 @@
 
 // A status from another proxy counts from when that proxy requested it, and for
 // as long as that proxy has known the replica to be unfenced.
+// TestFenceEndsBeforeItsTermIsSeen guards against a new primary without a lease until its
+// predecessor, which is cut off, is no longer registered: a replica may show the end of its
+// fence before the new term.
+func TestFenceEndsBeforeItsTermIsSeen(t *testing.T) {
+	tests := []struct {
+		name string
+		// untilTerm is how long after the last status with the fence the term is seen.
+		untilTerm time.Duration
+		want      bool
+	}{
+		{"at once", 100 * time.Millisecond, true},
+		{"late enough for another order", rosegroup.PrimaryLeaseTime, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture()
+			f.observePrimary("a", 1)
+			f.observeReplica("b", 1, 0)
+			f.observeReplica("c", 1, 0)
+			f.advance(time.Second)
+			f.ObservePossibleRestart("a")
+			f.observeReplica("b", 1, 2)
+			f.observeReplica("c", 1, 2)
+			f.advance(test.untilTerm - 50*time.Millisecond)
+			f.observeReplica("c", 1, 0)
+			f.advance(50 * time.Millisecond)
+			f.observePrimary("b", 2)
+			f.observeReplica("c", 2, 0)
+			qt.Check(t, f.leads("b", 2), qt.Equals, test.want)
+		})
+	}
+}
+
 func TestSharedStatuses(t *testing.T) {
 	status := rosemary.Status{Target: "b", Role: rosemary.RoleReplica, Term: 1}
 	for _, test := range []struct {
