--- /dev/null
+++ b/internal/rosenode/readers_test.go
@@ -0,0 +1,100 @@
+package rosenode
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
+)
+
+// Every proxy asks two others or is the root, and following the first ones leads to the root
+// in at most two steps.
+func TestReadingLeadsToTheRoot(t *testing.T) {
+	for _, perZone := range [][]int{{5, 5, 3}, {20, 20, 20}, {39, 35, 40, 36, 45}, {116, 116, 90}, {13}} {
+		t.Run(fmt.Sprint(perZone), func(t *testing.T) {
+			members := proxies(perZone...)
+			byName := make(map[rosemary.ProxyID]reading)
+			askedBy := make(map[rosemary.ProxyID]int)
+			roots := 0
+			for _, m := range members {
+				r := newReading(m, members)
+				byName[m.Proxy] = r
+				if r.root {
+					roots++
+				}
+				for _, id := range r.asked {
+					qt.Check(t, id, qt.Not(qt.Equals), m.Proxy)
+				}
+				if len(r.asked) > 0 {
+					askedBy[r.asked[0]]++
+				}
+			}
+			qt.Check(t, roots, qt.Equals, 1)
+			for name, r := range byName {
+				steps := 0
+				for ; !r.root && steps < 3 && len(r.asked) > 0; steps++ {
+					r = byName[r.asked[0]]
+				}
+				qt.Check(t, r.root, qt.IsTrue, qt.Commentf("%s after %d steps", name, steps))
+			}
+			for name, count := range askedBy {
+				qt.Check(t, count <= 3*proxiesPerReader, qt.IsTrue, qt.Commentf("%d ask %s", count, name))
+			}
+		})
+	}
+	small := newReading(proxies(4, 4, 4)[0], proxies(4, 4, 4))
+	qt.Check(t, small.root || len(small.asked) > 0, qt.IsFalse)
+}
+
+// News that is older than what is known changes nothing.
+func TestNewsOlderThanKnown(t *testing.T) {
+	c := qt.New(t)
+	n := New(Config{Self: rosemary.Member{Proxy: "p"}, Clock: roseclock.Runtime{}, Store: emptyStore{}})
+	registration := func(leaving bool) []rosemary.TargetRegistration {
+		return []rosemary.TargetRegistration{{Target: rosemary.Target{ID: "t-1"}, Group: "g", Slots: 3, Leaving: leaving}}
+	}
+	now := n.config.Clock.Now()
+	n.replaceTargets(registration(true), now.Add(-time.Second), false)
+	n.apply(&rosemary.Configuration{Version: 9})
+	n.confirmConfiguration(now.Add(-time.Second))
+	old := uint64(5000)
+	n.hearTargets(rosewire.Reply{Yes: true, AgeMs: &old}, now)
+	c.Check(n.targetsReadAt, qt.Equals, now.Add(-time.Second))
+	n.hearTargets(rosewire.Reply{AgeMs: &old, Targets: []rosewire.Registration{encodeRegistration(registration(false)[0], now)}}, now)
+	c.Check(n.registrations[0].Leaving, qt.IsTrue)
+	n.hearConfiguration("q", 8, now)
+	c.Check(n.configurationAge() >= time.Second, qt.IsTrue)
+	n.hearConfiguration("q", 9, now.Add(-5*time.Second))
+	c.Check(n.configurationAge() < 2*time.Second, qt.IsTrue)
+}
+
+// A proxy without a configuration, or that never knew it to be the newest, tells nothing; one
+// that has the same targets as the sender leaves them out.
+func TestDescribeStore(t *testing.T) {
+	c := qt.New(t)
+	n := New(Config{Self: rosemary.Member{Proxy: "p"}, Clock: roseclock.Runtime{}, Store: emptyStore{}})
+	now := n.config.Clock.Now()
+	c.Check(n.describeStore(rosewire.Question{}), qt.DeepEquals, rosewire.Reply{})
+	n.replaceTargets([]rosemary.TargetRegistration{{Target: rosemary.Target{ID: "t-1"}, Group: "g", Slots: 3}}, now, false)
+	n.apply(&rosemary.Configuration{Version: 9})
+	c.Check(n.describeStore(rosewire.Question{}), qt.DeepEquals, rosewire.Reply{})
+	n.confirmConfiguration(now)
+	reply := n.describeStore(rosewire.Question{})
+	c.Check(reply.Targets, qt.HasLen, 1)
+	c.Check(*reply.Version, qt.Equals, uint64(9))
+	digest, _ := n.targetsDigest()
+	same := n.describeStore(rosewire.Question{Digest: &digest})
+	c.Check(same.Yes, qt.IsTrue)
+	c.Check(same.Targets, qt.HasLen, 0)
+}
+
+// emptyStore is a store of epoch 0 that isn't called.
+type emptyStore struct{ rosemary.MetadataStore }
+
+// Epoch returns 0.
+func (emptyStore) Epoch() uint64 { return 0 }
