rosecaller: leave a new session the time for its first request in a drain

Change: a session is idle for a second at least before a drain closes it, so its first request is answered, with a refusal if need be.

--- a/pkg/rosecaller/drain.go
+++ b/pkg/rosecaller/drain.go
@@ -6,6 +6,9 @@
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
+// firstRequestTime is the time that a new session has for its first request during a drain.
+const firstRequestTime = time.Second
+
 // DrainDeadlines bounds how long sessions wait for their clients while the
 // proxy shuts down. The zero value sets no limit.
 type DrainDeadlines struct {
@@ -31,3 +34,13 @@
 	}
 	return limit
 }
+
+// WithOpened returns the deadlines for a session that was opened at a time: it is idle for at
+// least firstRequestTime before it is closed, so that a client which has just connected isn't
+// cut off with its first request under way.
+func (d DrainDeadlines) WithOpened(at time.Time) DrainDeadlines {
+	if earliest := at.Add(firstRequestTime); !d.IdleSessions.IsZero() && d.IdleSessions.Before(earliest) {
+		d.IdleSessions = earliest
+	}
+	return d
+}
