roseteam: teams and their keys in the configuration, and what parts of them share

Cause: the configuration's teams were not read, a target's connection named no team, and tasks passed between proxies named none.

Change: package roseteam holds teams, digests of their keys and caps; the adapter reads them, and passes a configuration on to other proxies with digests in place of keys. Tasks and requests for a target carry the team; kinds of refusal for a denied key, a used up cap, a proxy without a configuration and an outdated one.

Conclusion: no behaviour changes without teams in the configuration.

--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -63,6 +63,7 @@
 		SoftDeadline: j.task.SoftDeadline,
 		SessionID:    j.task.SessionID,
 		Avoid:        execution.avoid,
+		Team:         j.task.Team,
 	}
 	class := j.task.Route.Class
 	if execution.primaryOnly || !readOnly || class.MaxAge <= maxAgeMargin || class.ReadYourWrites && j.task.MinPositionUnknown {
--- a/pkg/rosecaller/local_executor.go
+++ b/pkg/rosecaller/local_executor.go
@@ -14,6 +14,15 @@
 	// Group returns the targets of a group.
 	Group       func(name string) (*rosefleet.Group, bool)
 	RetryBudget *roseadmit.RetryBudget
+	// Usage keeps teams within their usage caps; nil for no caps.
+	Usage UsageLimiter
+}
+
+// UsageLimiter keeps the operations of teams within their usage caps.
+type UsageLimiter interface {
+	// Admit counts an operation of a team that begins now and is about to be sent to a
+	// target. Without ok it would exceed the cap, and may succeed after retryAfter.
+	Admit(team string) (retryAfter time.Duration, ok bool)
 }
 
 // LocalExecutor runs tasks on this proxy's own connections to targets.
@@ -28,6 +37,9 @@
 
 // Run runs a statement outside a transaction.
 func (e *LocalExecutor) Run(ctx context.Context, task Task) Result {
+	if refusal := e.overCap(task); refusal != nil {
+		return refusedResult(task, refusal)
+	}
 	e.config.RetryBudget.Deposit()
 	j := &job{executor: e, task: task}
 	return j.result(j.runAutocommit(ctx, task.Statement))
@@ -35,6 +47,9 @@
 
 // Begin opens a transaction with its first statement.
 func (e *LocalExecutor) Begin(ctx context.Context, task Task) (Transaction, Result) {
+	if refusal := e.overCap(task); refusal != nil {
+		return nil, refusedResult(task, refusal)
+	}
 	e.config.RetryBudget.Deposit()
 	j := &job{executor: e, task: task, transactionState: rosemary.TransactionOpen}
 	result := j.result(j.runFirstStatement(ctx, task.Statement))
@@ -44,6 +59,27 @@
 	return j, result
 }
 
+// overCap counts an operation of a team, and returns the refusal if it exceeds the team's
+// usage cap.
+func (e *LocalExecutor) overCap(task Task) *rosemary.Refusal {
+	if e.config.Usage == nil || task.Team == "" {
+		return nil
+	}
+	retryAfter, ok := e.config.Usage.Admit(task.Team)
+	if ok {
+		return nil
+	}
+	return &rosemary.Refusal{
+		Kind: rosemary.KindOverCap, Outcome: rosemary.OutcomeNotRun, Message: "the team has used up its usage cap",
+		Remedy: "retry later, or ask the operators for a higher cap", RetryAfter: max(retryAfter, time.Millisecond),
+	}
+}
+
+// refusedResult is the result of a task that was not begun.
+func refusedResult(task Task, refusal *rosemary.Refusal) Result {
+	return Result{Refusal: refusal, MinPosition: task.MinPosition, MinPositionUnknown: task.MinPositionUnknown}
+}
+
 // job is one task, or a transaction with its current task.
 type job struct {
 	executor         *LocalExecutor
--- a/pkg/rosecaller/task.go
+++ b/pkg/rosecaller/task.go
@@ -33,6 +33,11 @@
 	// answer should have arrived.
 	Deadline     time.Time
 	SoftDeadline time.Time
+	// Team is the team on whose behalf the statement runs, empty if the configuration has
+	// no teams. ConfigurationVersion is the version in which the caller's key belonged to
+	// it.
+	Team                 string
+	ConfigurationVersion int64
 }
 
 // Result is the outcome of a task.
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -48,6 +48,8 @@
 	SessionID uint64
 	// Avoid is a target to use only if no other will do.
 	Avoid rosemary.TargetID
+	// Team is the team on whose behalf the statement runs, empty if there are no teams.
+	Team string
 }
 
 // ConnLease is a connection for the exclusive use of one session.
@@ -183,7 +185,7 @@
 	lease := &ConnLease{group: g, endpoint: e, pooled: c, term: term}
 	if c == nil {
 		var err error
-		if c, err = e.dial(ctx); err != nil {
+		if c, err = e.dial(ctx, request.Team); err != nil {
 			g.handleDialError(ctx, e, err)
 			return nil, nil
 		}
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -25,6 +25,8 @@
 // pooledConn is a connection with its bookkeeping.
 type pooledConn struct {
 	conn rosemary.Conn
+	// team is the team in whose name the connection was opened.
+	team string
 	// sessionState is the state set by the connection's last user.
 	sessionState any
 	sessionID    uint64
--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -145,7 +145,7 @@
 				e.group.observePossibleRestart(e, "no connection was open")
 			}
 			var err error
-			if c, err = e.dial(ctx); err != nil {
+			if c, err = e.dial(ctx, ""); err != nil {
 				return rosemary.Status{}, err
 			}
 		}
@@ -190,7 +190,7 @@
 	p.timer = time.AfterFunc(probeDelay, func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target)
+		conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target, "")
 		if err == nil {
 			conn.Close()
 		}
@@ -212,12 +212,12 @@
 }
 
 // dial opens a connection that the pool has granted.
-func (e *endpoint) dial(ctx context.Context) (*pooledConn, error) {
+func (e *endpoint) dial(ctx context.Context, team string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target)
+	conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target, team)
 	if err == nil {
-		return &pooledConn{conn: conn, takenAt: time.Now()}, nil
+		return &pooledConn{conn: conn, team: team, takenAt: time.Now()}, nil
 	}
 	if trace.IsLimitExceeded(err) {
 		e.pool.markFull()
--- a/pkg/rosefleet/shared_test.go
+++ b/pkg/rosefleet/shared_test.go
@@ -52,7 +52,7 @@
 type statusDialer time.Duration
 
 // DialTarget opens a statusConn.
-func (d statusDialer) DialTarget(_ context.Context, _ string, target rosemary.Target) (rosemary.Conn, error) {
+func (d statusDialer) DialTarget(_ context.Context, _ string, target rosemary.Target, _ string) (rosemary.Conn, error) {
 	return statusConn{target.ID, time.Duration(d)}, nil
 }
 
--- a/pkg/rosemary/refusal.go
+++ b/pkg/rosemary/refusal.go
@@ -38,6 +38,15 @@
 	KindReadOnlyClass    RefusalKind = "read-only-class"
 	KindAborted          RefusalKind = "aborted"
 	KindUnknownStatement RefusalKind = "unknown-statement"
+	// KindNotReady means that this proxy has no configuration yet.
+	KindNotReady RefusalKind = "not-ready"
+	// KindDenied means that the caller's key belongs to no team.
+	KindDenied RefusalKind = "denied"
+	// KindOverCap means that the caller's team has used up its usage cap.
+	KindOverCap RefusalKind = "over-cap"
+	// KindOutdated means that a home proxy knows a newer configuration, in which the
+	// team's keys may have changed, than the proxy that relayed the request.
+	KindOutdated RefusalKind = "outdated"
 )
 
 // sqlStates maps kinds of refusal to the SQLSTATE codes sent to clients.
@@ -59,6 +68,10 @@
 	KindReadOnlyClass:    "25006",
 	KindAborted:          "40000",
 	KindUnknownStatement: "26000",
+	KindNotReady:         "57P03",
+	KindDenied:           "28000",
+	KindOverCap:          "53400",
+	KindOutdated:         "57P03",
 }
 
 // Refusal is the error that the proxy returns to a client.
--- a/pkg/rosemary/statement.go
+++ b/pkg/rosemary/statement.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/roseteam"
 )
 
 // StatementKind classifies statements by their effect on the session.
@@ -146,7 +148,8 @@
 // target has no connection left, a trace.NotFound if a different target or
 // group is served at the address, and a trace.ConnectionProblem otherwise.
 type TargetDialer interface {
-	DialTarget(ctx context.Context, group string, target Target) (Conn, error)
+	// DialTarget connects on behalf of a team, or of the proxy itself if team is empty.
+	DialTarget(ctx context.Context, group string, target Target, team string) (Conn, error)
 }
 
 // Promoter calls the platform to promote a target to primary of its group. The
@@ -195,6 +198,8 @@
 	LatencyObjective time.Duration
 	// Priority orders queued requests; 0 is the highest.
 	Priority int
+	// Public is set if callers need no key.
+	Public bool
 }
 
 // GroupSettings is the configuration of one group.
@@ -216,7 +221,10 @@
 	// TransactionIdleTimeout is the idle time after which a transaction is
 	// rolled back.
 	TransactionIdleTimeout time.Duration
-	// Text is the source from which the configuration was parsed.
+	// Teams holds the teams that may use the databases, nil if callers need no key.
+	Teams *roseteam.Directory
+	// Text is the configuration in the form that proxies pass on to each other. It holds
+	// no keys.
 	Text string
 }
 
@@ -229,7 +237,6 @@
 	// configuration, or nil if there was none within wait. On ErrCompacted
 	// the caller has to Fetch again.
 	Await(ctx context.Context, revision int64, wait time.Duration) (*Configuration, int64, error)
-	// Parse parses the text of a configuration, such as one received from
-	// another proxy.
+	// Parse parses a Configuration.Text, such as one received from another proxy.
 	Parse(text string) (*Configuration, error)
 }
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -92,6 +92,8 @@
 		FloorOffset: optional(t.MinPosition.Offset),
 		Uncertain:   optional(t.MinPositionUnknown),
 		ReadOnly:    optional(t.ReadOnly),
+		Team:        optional(t.Team),
+		Version:     optional(uint64(t.ConfigurationVersion)),
 		Statement:   encodeStatement(t.Statement),
 	}
 	if t.Prepared.Kind != 0 {
@@ -114,6 +116,9 @@
 		MinPositionUnknown: orZero(t.Uncertain),
 		Deadline:           receivedAt.Add(time.Duration(t.DeadlineMs) * time.Millisecond),
 		SoftDeadline:       receivedAt.Add(time.Duration(t.AimMs) * time.Millisecond),
+
+		Team:                 orZero(t.Team),
+		ConfigurationVersion: int64(orZero(t.Version)),
 	}
 	task.Route.Group = t.Group
 	task.Route.Priority = int(orZero(t.Priority))
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -455,11 +455,19 @@
 	// Statement corresponds to the JSON schema field "Statement".
 	Statement Statement `cbor:"Statement"`
 
+	// Team is the team on whose behalf the statement runs; empty if there are no
+	// teams.
+	Team *string `cbor:"Team,omitempty"`
+
 	// Uncertain is set if the outcome of one of the session's writes is unknown.
 	Uncertain *bool `cbor:"Uncertain,omitempty"`
 
 	// Values are the settings of the session.
 	Values []Value `cbor:"Values,omitempty"`
+
+	// Version is the version of the configuration in which the caller's key belonged
+	// to the team.
+	Version *uint64 `cbor:"Version,omitempty"`
 }
 
 // Value is a setting of a session.
