roseteam: which teams have kept their keys since a version

Cause: a home that knows a newer configuration than the proxy that relays to it can't tell whether the team that the task names has lost a key since.

Conclusion: nothing uses it yet.

--- a/pkg/roseteam/directory.go
+++ b/pkg/roseteam/directory.go
@@ -13,6 +13,10 @@
 	version int64
 	byName  map[string]Team
 	byKey   map[KeyDigest]string
+	// earlier are the last versions that were in force here before, in ascending order.
+	earlier []int64
+	// lostKeyAt is the first version without a key that a team had before, by team.
+	lostKeyAt map[string]int64
 }
 
 // NewDirectory returns the directory of a version. The error is a trace.BadParameter if two
@@ -37,6 +41,14 @@
 // Version returns the version of the configuration that the teams belong to.
 func (d *Directory) Version() int64 { return d.version }
 
+// Len returns the number of teams.
+func (d *Directory) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byName)
+}
+
 // ByKey returns the team that holds a key.
 func (d *Directory) ByKey(key KeyDigest) (Team, bool) {
 	name, found := d.byKey[key]
