rosecaller, rosenode, roserelay: statements run for the team that holds the caller's key

Cause: the key of a caller's CONNECT was ignored: a key that no configuration holds, or that was taken away, was served, also when relayed. A proxy without a configuration said that a database doesn't exist. A malformed configuration looked like a lost store, and each proxy read it again and again.

Change: the adapter passes on the key's digest. Unknown keys are denied at CONNECT unless the route is public. A session looks its key up again whenever the teams in force have changed; an open transaction ends if the key is gone or has moved to another team. A home refuses a relayed task if the team may have lost a key in a version that the relaying proxy doesn't have; that proxy fetches the configuration from the home and tries again. Without a configuration clients are told to come back. A malformed version gets one error line and the one before stays. A proxy whose news of the configuration is older than the operators allow says so, and stays ready. Requests and refusals are counted by team.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	! grep -rnE '$(PLATFORM_WORDS)' --include='*.go' --exclude='*_test.go' cmd pkg internal
 
 # Names of the users' platform, which stand in platform/ alone.
-PLATFORM_WORDS = kv-(key|range|watch|txn|lease|keep)|"servers/|op/config|X-(Fencing-Token|Lease-Holder)|Store-Era|max_staleness_ms|tx_idle_ms|bounded_staleness|read_your_writes|"(STEPDOWN|PAUSE|RESUME|LAGGING|READONLY|WRONGNODE|TOOMANY|NOSTMT|NODB)"|db_role|api/ready
+PLATFORM_WORDS = kv-(key|range|watch|txn|lease|keep)|"servers/|op/config|X-(Fencing-Token|Lease-Holder)|Store-Era|max_staleness_ms|tx_idle_ms|bounded_staleness|read_your_writes|"(STEPDOWN|PAUSE|RESUME|LAGGING|READONLY|WRONGNODE|TOOMANY|NOSTMT|NODB)"|db_role|api/ready|api_keys|rate_per_s|"DENIED"
 
 # A bounded number of inputs for each decoder, beside the committed corpus.
 fuzz:
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
@@ -41,6 +42,7 @@
 	revision, fetchedAt := int64(0), time.Time{}
 	epoch := n.config.Store.Epoch()
 	lost, retryDelay := false, minRetryDelay
+	refused := ""
 	for ctx.Err() == nil {
 		if newest := n.config.Store.Epoch(); newest != epoch {
 			// Revisions of an earlier epoch are void.
@@ -76,6 +78,21 @@
 				klog.InfoS("store regained", "for", "configuration")
 			}
 			lost, retryDelay = false, minRetryDelay
+			if configuration != nil {
+				refused = ""
+			}
+			n.apply(configuration)
+			n.confirmConfiguration(confirmedAt)
+			if asksReaders {
+				roseclock.Sleep(ctx, awaitTimeout)
+			}
+			continue
+		case trace.IsBadParameter(err):
+			// The last well-formed version stays in force until the next change.
+			if err.Error() != refused {
+				klog.ErrorS(nil, "configuration refused", "from", "store", "revision", revision, "err", roselog.ErrorMessage(err))
+			}
+			refused, lost, retryDelay = err.Error(), false, minRetryDelay
 			n.apply(configuration)
 			n.confirmConfiguration(confirmedAt)
 			if asksReaders {
@@ -105,10 +122,14 @@
 	if current != nil && configuration.Version <= current.Version {
 		return
 	}
+	if current != nil {
+		configuration = configuration.WithTeams(configuration.Teams.WithPredecessor(current.Teams))
+	}
 	n.configuration.Store(configuration)
 	n.metrics.setConfigurationVersion(configuration.Version)
 	n.mesh.SetBundleVersion(uint64(configuration.Version))
-	klog.InfoS("configuration in force", "version", configuration.Version, "routes", len(configuration.Routes), "groups", len(configuration.Groups))
+	klog.InfoS("configuration in force", "version", configuration.Version, "routes", len(configuration.Routes), "groups", len(configuration.Groups),
+		"teams", configuration.Teams.Len())
 	n.updateGroups(false)
 }
 
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,10 +15,14 @@
 // Metrics holds the metrics of a node.
 type Metrics struct {
 	set *metrics.Set
+
+	mu sync.Mutex
+	// teams are the teams with series of their own.
+	teams map[string]bool
 }
 
 // NewMetrics returns empty metrics.
-func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet(), teams: make(map[string]bool)} }
 
 // WriteText writes the metrics of the node and its process in Prometheus text
 // format.
@@ -35,6 +41,69 @@
 	m.set.GetOrCreateCounter("rosemary_refusals_total" + labels).Inc()
 }
 
+const (
+	// maxTeamSeries is the number of teams with series of their own.
+	maxTeamSeries = 100
+	// otherTeams is the label of the teams without.
+	otherTeams = "(others)"
+
+	outcomeServed  = "served"
+	outcomeDenied  = "denied"
+	outcomeOverCap = "over-cap"
+	outcomeRefused = "refused"
+	outcomeUnknown = "unknown"
+)
+
+// teamOutcome returns the outcome of a refused request as the series of teams have it.
+func teamOutcome(refusal *rosemary.Refusal) string {
+	switch {
+	case refusal.Kind == rosemary.KindDenied:
+		return outcomeDenied
+	case refusal.Kind == rosemary.KindOverCap:
+		return outcomeOverCap
+	case refusal.Outcome == rosemary.OutcomeNotRun:
+		return outcomeRefused
+	}
+	return outcomeUnknown
+}
+
+// countTeamRequest counts a request of a team, unless that is empty.
+func (m *Metrics) countTeamRequest(team, outcome string) {
+	if team == "" {
+		return
+	}
+	labels := `{team="` + m.teamLabel(team) + `",outcome="` + outcome + `"}`
+	m.set.GetOrCreateCounter("rosemary_team_requests_total" + labels).Inc()
+}
+
+// teamLabel returns the label of a team's series.
+func (m *Metrics) teamLabel(team string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.teams[team] {
+		if len(m.teams) >= maxTeamSeries {
+			return otherTeams
+		}
+		m.teams[team] = true
+	}
+	return strings.Map(func(r rune) rune {
+		if strings.ContainsRune(`"\{}`, r) || r < ' ' {
+			return '_'
+		}
+		return r
+	}, team)
+}
+
+func (m *Metrics) trackConfigurationAge(age func() time.Duration, outdated func() bool) {
+	m.set.NewGauge("rosemary_configuration_age_seconds", func() float64 { return age().Seconds() })
+	m.set.NewGauge("rosemary_configuration_outdated", func() float64 {
+		if outdated() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (m *Metrics) setConfigurationVersion(version int64) {
 	m.set.GetOrCreateCounter("rosemary_configuration_version").Set(uint64(version))
 }
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
@@ -32,12 +33,15 @@
 	FirstStart bool
 	// LeavingTime is how long after its report a leaving target may get new work;
 	// rosefleet.DefaultLeavingTime if zero.
-	LeavingTime    time.Duration
-	Store          rosemary.MetadataStore
-	Targets        rosemary.TargetSource
-	Configurations rosemary.ConfigurationSource
-	Promoter       rosemary.Promoter
-	TargetDialer   rosemary.TargetDialer
+	LeavingTime time.Duration
+	// ConfigurationTime is how old the news that the configuration in force is the newest
+	// may be; DefaultConfigurationTime if zero.
+	ConfigurationTime time.Duration
+	Store             rosemary.MetadataStore
+	Targets           rosemary.TargetSource
+	Configurations    rosemary.ConfigurationSource
+	Promoter          rosemary.Promoter
+	TargetDialer      rosemary.TargetDialer
 	// PeerDialer connects to other proxies.
 	PeerDialer rosemary.Dialer
 	// Clock has to advance while the VM is suspended.
@@ -71,6 +75,12 @@
 	metrics               *Metrics
 	startedAt             time.Time
 	fetchingConfiguration atomic.Bool
+	// awaitingNewer is set while this proxy fetches a version that another one has named.
+	awaitingNewer atomic.Bool
+	// homeFetches are the fetches of a configuration from homes, by address.
+	homeFetches singleflight.Group
+	// newsOutdated is set while the configuration may not be the newest.
+	newsOutdated atomic.Bool
 	// readTargetsNow makes followTargets read the targets at once.
 	readTargetsNow chan struct{}
 	// isolated is set while this proxy is neither registered in the store nor
@@ -129,6 +139,9 @@
 
 // New returns a node; Run starts it.
 func New(config Config) *Node {
+	if config.ConfigurationTime == 0 {
+		config.ConfigurationTime = DefaultConfigurationTime
+	}
 	if config.OnZonePartitioned == nil {
 		config.OnZonePartitioned = func(bool) {}
 	}
@@ -142,10 +155,11 @@
 		readTargetsNow: make(chan struct{}, 1),
 	}
 	n.metrics.trackTargetsAge(n.targetsAge)
+	n.metrics.trackConfigurationAge(n.configurationAge, n.newsOutdated.Load)
 	n.mesh = n.newMesh()
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
-	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}})
-	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer})
+	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, CheckTeam: n.checkTeam})
+	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, OnOutdated: n.fetchFromHome})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
 		Store:          config.Store,
 		Clock:          config.Clock,
@@ -179,7 +193,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.watchConfigurationAge, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
@@ -272,19 +286,6 @@
 	return names
 }
 
-// Open returns a session on a database, or the reason for refusing it.
-func (n *Node) Open(database string) (*rosecaller.Session, *rosemary.Refusal) {
-	if _, found := n.Route(database); !found {
-		refusal := &rosemary.Refusal{
-			Kind: rosemary.KindUnknownDatabase, Outcome: rosemary.OutcomeNotRun,
-			Message: "there is no such database", Remedy: "check the database name and the configuration in force",
-		}
-		n.Refused(database, "", refusal, "", 0)
-		return nil, refusal
-	}
-	return rosecaller.NewSession(rosecaller.Config{ConfigProvider: n, Database: database, Executor: placement{n}, Observer: n}), nil
-}
-
 // Route returns the route of a database in the configuration in force.
 func (n *Node) Route(database string) (rosemary.Route, bool) {
 	configuration := n.configuration.Load()
@@ -320,20 +321,24 @@
 // Served counts and logs a successful answer.
 func (n *Node) Served(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
 	n.metrics.observeStatement(task.Route.Class.Name, task.Statement.Kind, result.Primary, took)
+	n.metrics.countTeamRequest(task.Team, outcomeServed)
 	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
 		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds())
 }
 
 // Refused counts and logs a refusal.
-func (n *Node) Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID, took time.Duration) {
+func (n *Node) Refused(request rosecaller.RefusedRequest) {
+	refusal := request.Refusal
 	n.metrics.countRefusal(refusal)
+	n.metrics.countTeamRequest(request.Team, teamOutcome(refusal))
 	version := int64(0)
 	if configuration := n.configuration.Load(); configuration != nil {
 		version = configuration.Version
 	}
-	route, _ := n.Route(database)
-	klog.InfoS("request refused", "request", id, "database", database, "group", route.Group, "kind", refusal.Kind, "outcome", refusal.Outcome,
-		"target", target, "us", took.Microseconds(), "configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
+	route, _ := n.Route(request.Database)
+	klog.InfoS("request refused", "request", request.ID, "database", request.Database, "group", route.Group, "team", request.Team,
+		"kind", refusal.Kind, "outcome", refusal.Outcome, "target", request.Target, "us", request.Took.Microseconds(),
+		"configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
 }
 
 // maxPrimaryWait is how long after its start a proxy waits for the primaries of
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -94,6 +94,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", n.mesh.Handler())
 	mux.Handle("GET "+roserelay.Path, n.relayServer)
+	mux.HandleFunc("GET "+configurationPath, n.serveConfiguration)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	return server.Serve(listener)
 }
@@ -168,19 +169,33 @@
 		if current := n.configuration.Load(); current != nil && current.Version >= version {
 			return
 		}
-		text, err := n.mesh.FetchPart(ctx, from, "")
-		if err != nil {
-			klog.InfoS("configuration not pulled", "from", from, "version", version, "err", roselog.ErrorMessage(err))
-			return
-		}
-		configuration, err := n.config.Configurations.Parse(text)
-		klog.InfoS("configuration pulled", "from", from, "version", version, "err", roselog.ErrorMessage(err))
-		if err == nil {
-			n.apply(configuration)
-		}
+		n.pull(ctx, from, version)
 	})
 }
 
+// pull fetches a configuration from a peer, and reports whether it got one.
+func (n *Node) pull(ctx context.Context, from rosemary.ProxyID, version int64) bool {
+	text, err := n.mesh.FetchPart(ctx, from, "")
+	if err != nil {
+		klog.InfoS("configuration not pulled", "from", from, "version", version, "err", roselog.ErrorMessage(err))
+		return false
+	}
+	return n.applyText(text, string(from))
+}
+
+// applyText puts a configuration that another proxy has passed on into force, and reports
+// whether it is well formed.
+func (n *Node) applyText(text, from string) bool {
+	configuration, err := n.config.Configurations.Parse(text)
+	if err != nil {
+		klog.ErrorS(nil, "configuration refused", "from", from, "err", roselog.ErrorMessage(err))
+		return false
+	}
+	klog.InfoS("configuration pulled", "from", from, "version", configuration.Version)
+	n.apply(configuration)
+	return true
+}
+
 // answerQuestion replies to a peer's question.
 func (n *Node) answerQuestion(from rosemary.ProxyID, question rosewire.Question) rosewire.Reply {
 	switch question.About {
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -74,10 +74,10 @@
 
 // mayRetryElsewhere reports whether a task that a home proxy has refused may be
 // relayed to another one: it left no lasting effect, and the deadline and the
-// retry budget allow it.
+// retry budget allow it. The session itself retries after rosemary.KindOutdated.
 func (p placement) mayRetryElsewhere(ctx context.Context, task rosecaller.Task, home rosemary.Member, result rosecaller.Result) bool {
 	refusal := result.Refusal
-	if refusal == nil || ctx.Err() != nil || !time.Now().Before(task.Deadline) {
+	if refusal == nil || refusal.Kind == rosemary.KindOutdated || ctx.Err() != nil || !time.Now().Before(task.Deadline) {
 		return false
 	}
 	repeatable := refusal.Outcome == rosemary.OutcomeNotRun || !task.Statement.Writes && task.Statement.Kind != rosemary.StatementCommit
--- a/pkg/rosecaller/session.go
+++ b/pkg/rosecaller/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/roseteam"
 )
 
 // ConfigProvider looks up the active configuration. Its answers may change
@@ -19,23 +20,39 @@
 	Route(database string) (rosemary.Route, bool)
 	// TransactionIdleTimeout is how long a transaction may be idle.
 	TransactionIdleTimeout() time.Duration
+	// Teams returns the teams that may use the databases, nil if callers need no key.
+	Teams() *roseteam.Directory
 }
 
 // Config configures a Session.
 type Config struct {
 	ConfigProvider ConfigProvider
 	Database       string
-	Executor       Executor
-	Observer       Observer
+	// Key identifies the caller's key.
+	Key      roseteam.KeyDigest
+	Executor Executor
+	Observer Observer
 }
 
 // Observer receives the results of requests. Its methods must not block.
 type Observer interface {
 	// Served reports a successful answer of a target and how long it took.
 	Served(task Task, result Result, took time.Duration)
-	// Refused reports a refusal, the Statement.ID of the request, the last
-	// target that was used, and how long the request took.
-	Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID, took time.Duration)
+	// Refused reports a refusal.
+	Refused(request RefusedRequest)
+}
+
+// RefusedRequest is a request that was refused.
+type RefusedRequest struct {
+	Database string
+	// Team is the team that holds the caller's key, or did last; empty if no team ever did.
+	Team string
+	// ID is the request's Statement.ID.
+	ID      string
+	Refusal *rosemary.Refusal
+	// Target is the last target that was used.
+	Target rosemary.TargetID
+	Took   time.Duration
 }
 
 // lastSessionID numbers the sessions of this process.
@@ -45,6 +62,9 @@
 type Session struct {
 	config   Config
 	id       uint64
+	identity identity
+	// lastTeam is the last team that held the session's key.
+	lastTeam string
 	settings map[string]string
 	// prepared maps the client's names of prepared statements to the prepare
 	// statements that targets get, whose names all sessions share.
@@ -58,6 +78,8 @@
 	transactionState rosemary.TransactionState
 	readOnly         bool
 	route            rosemary.Route
+	// transactionTeam is the caller's team when the transaction began.
+	transactionTeam string
 	// transaction is nil until a target runs its first statement.
 	transaction Transaction
 	// lastTarget is the last target that the current statement used.
@@ -69,7 +91,11 @@
 
 // NewSession returns a session on the database of config.
 func NewSession(config Config) *Session {
-	return &Session{config: config, id: lastSessionID.Add(1), prepared: make(map[string]rosemary.Statement)}
+	identity := newIdentity(config.ConfigProvider.Teams(), config.Key)
+	return &Session{
+		config: config, id: lastSessionID.Add(1), identity: identity, lastTeam: identity.team,
+		prepared: make(map[string]rosemary.Statement),
+	}
 }
 
 // TransactionState returns the state of the session's transaction.
@@ -106,7 +132,9 @@
 	answer, refusal := s.do(ctx, statement)
 	answer.TransactionState = s.transactionState
 	if refusal != nil {
-		s.config.Observer.Refused(s.config.Database, statement.ID, refusal, s.lastTarget, time.Since(started))
+		s.config.Observer.Refused(RefusedRequest{
+			Database: s.config.Database, Team: s.lastTeam, ID: statement.ID, Refusal: refusal, Target: s.lastTarget, Took: time.Since(started),
+		})
 	}
 	return answer, refusal
 }
@@ -157,7 +185,11 @@
 	if !found {
 		return rosemary.Answer{}, unknownDatabase(s.config.Database)
 	}
+	if refusal := s.resolveTeam(route); refusal != nil {
+		return rosemary.Answer{}, refusal
+	}
 	s.transactionState, s.readOnly, s.route, s.expired = rosemary.TransactionOpen, statement.ReadOnly, route, false
+	s.transactionTeam = s.identity.team
 	return localAnswer(), nil
 }
 
@@ -185,7 +217,7 @@
 	started := time.Now()
 	task.Statement, task.Route, task.ReadOnly = statement, s.route, s.readOnly
 	task.Deadline, task.SoftDeadline = started.Add(s.route.Class.Timeout-answerMargin), started.Add(s.route.LatencyObjective)
-	result := s.execute(ctx, task)
+	result := s.executeForTeam(ctx, &task)
 	if result.Refusal == nil && result.Answer.Failure == rosemary.FailureNone {
 		s.config.Observer.Served(task, result, time.Since(started))
 	}
--- a/pkg/rosecaller/session_test.go
+++ b/pkg/rosecaller/session_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/roseteam"
 )
 
 // executor returns the given results in turn and records the tasks.
@@ -16,6 +17,7 @@
 	results   []rosecaller.Result
 	tasks     []rosecaller.Task
 	rollbacks int
+	teams     *roseteam.Directory
 }
 
 func (e *executor) pop(task rosecaller.Task) rosecaller.Result {
@@ -54,8 +56,10 @@
 // Served and Refused do nothing.
 func (e *executor) Served(rosecaller.Task, rosecaller.Result, time.Duration) {}
 
-func (e *executor) Refused(string, string, *rosemary.Refusal, rosemary.TargetID, time.Duration) {
-}
+func (e *executor) Refused(rosecaller.RefusedRequest) {}
+
+// Teams returns the teams that the test has set.
+func (e *executor) Teams() *roseteam.Directory { return e.teams }
 
 func newSession(results ...rosecaller.Result) (*rosecaller.Session, *executor) {
 	e := &executor{results: results}
--- a/pkg/rosecaller/task.go
+++ b/pkg/rosecaller/task.go
@@ -54,6 +54,9 @@
 	Primary bool
 	// Open is set while the transaction is open on its target.
 	Open bool
+	// NewerVersion is the version of the configuration in force at the proxy that refused
+	// the task with rosemary.KindOutdated.
+	NewerVersion int64
 }
 
 // Executor runs tasks on targets, through this proxy's connections or those of
--- a/pkg/rosemary/statement.go
+++ b/pkg/rosemary/statement.go
@@ -228,6 +228,13 @@
 	Text string
 }
 
+// WithTeams returns the configuration with other teams.
+func (c *Configuration) WithTeams(teams *roseteam.Directory) *Configuration {
+	next := *c
+	next.Teams = teams
+	return &next
+}
+
 // ConfigurationSource reads the current configuration.
 type ConfigurationSource interface {
 	// Fetch returns the latest configuration and the revision to pass to
--- a/pkg/roserelay/client.go
+++ b/pkg/roserelay/client.go
@@ -46,6 +46,9 @@
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	Dialer rosemary.Dialer
+	// OnOutdated is called before the result of a task is returned that the home at an
+	// address has refused because its configuration has a newer version. It may be nil.
+	OnOutdated func(ctx context.Context, address string, version int64)
 }
 
 // Client runs tasks on other proxies. Its methods may be called concurrently.
@@ -63,6 +66,7 @@
 
 // link is the WebSocket connection to one home proxy.
 type link struct {
+	client  *Client
 	address string
 	// dialed is closed when the dial has ended and conn or err is set.
 	dialed   chan struct{}
@@ -85,6 +89,9 @@
 // NewClient returns a client, which connects to home proxies on demand.
 func NewClient(config ClientConfig) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
+	if config.OnOutdated == nil {
+		config.OnOutdated = func(context.Context, string, int64) {}
+	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return config.Dialer.Dial(ctx, address)
@@ -234,7 +241,7 @@
 	c.mu.Lock()
 	l := c.links[home.Address]
 	if l == nil || l.canReplace() {
-		l = &link{address: home.Address, dialed: make(chan struct{}), pending: make(map[uint64]chan *rosewire.Result)}
+		l = &link{client: c, address: home.Address, dialed: make(chan struct{}), pending: make(map[uint64]chan *rosewire.Result)}
 		l.context, l.cancel = context.WithCancel(c.context)
 		c.links[home.Address] = l
 		go c.open(l, home)
@@ -372,7 +379,11 @@
 	}
 	result := l.awaitResult(ctx, pending, order.Do, task)
 	if result != nil {
-		return decodeResult(result), number, Answered
+		decoded := decodeResult(result)
+		if decoded.NewerVersion > 0 {
+			l.client.config.OnOutdated(ctx, l.address, decoded.NewerVersion)
+		}
+		return decoded, number, Answered
 	}
 	l.mu.Lock()
 	delete(l.pending, number)
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -149,6 +149,8 @@
 		Target:      optional(string(r.Target)),
 		Primary:     optional(r.Primary),
 		Open:        optional(r.Open),
+
+		NewerVersion: optional(uint64(r.NewerVersion)),
 	}
 	if r.Refusal != nil {
 		result.Refusal = &rosewire.Refusal{
@@ -170,6 +172,7 @@
 		Target:             rosemary.TargetID(orZero(r.Target)),
 		Primary:            orZero(r.Primary),
 		Open:               orZero(r.Open),
+		NewerVersion:       int64(orZero(r.NewerVersion)),
 	}
 	if r.Refusal != nil {
 		result.Refusal = &rosemary.Refusal{
--- a/pkg/roserelay/server.go
+++ b/pkg/roserelay/server.go
@@ -20,6 +20,9 @@
 type ServerConfig struct {
 	// Executor runs the tasks of other proxies.
 	Executor rosecaller.Executor
+	// CheckTeam reports whether a task may run for the team that the other proxy named. If
+	// not, newest is the version of the configuration in force here. It may be nil.
+	CheckTeam func(task rosecaller.Task) (newest int64, ok bool)
 }
 
 // Server runs tasks for other proxies. Its methods may be called concurrently.
@@ -68,6 +71,9 @@
 // NewServer returns a server without connections.
 func NewServer(config ServerConfig) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
+	if config.CheckTeam == nil {
+		config.CheckTeam = func(rosecaller.Task) (int64, bool) { return 0, true }
+	}
 	return &Server{config: config, context: ctx, cancel: cancel, links: make(map[*serverLink]struct{})}
 }
 
@@ -254,7 +260,7 @@
 	case order.Do == doBegin:
 		result = l.begin(ctx, order.Number, task)
 	default:
-		result = l.server.config.Executor.Run(ctx, task)
+		result = l.runOutsideTransaction(ctx, task)
 	}
 	if result.Refusal != nil {
 		klog.InfoS("task of another proxy refused", "request", task.Statement.ID, "group", task.Route.Group, "do", order.Do,
@@ -266,7 +272,17 @@
 	l.mu.Unlock()
 }
 
+func (l *serverLink) runOutsideTransaction(ctx context.Context, task rosecaller.Task) rosecaller.Result {
+	if newest, ok := l.server.config.CheckTeam(task); !ok {
+		return rosecaller.OutdatedResult(task, rosecaller.OutsideTransaction, newest)
+	}
+	return l.server.config.Executor.Run(ctx, task)
+}
+
 func (l *serverLink) begin(ctx context.Context, number uint64, task rosecaller.Task) rosecaller.Result {
+	if newest, ok := l.server.config.CheckTeam(task); !ok {
+		return rosecaller.OutdatedResult(task, rosecaller.BeforeTransaction, newest)
+	}
 	begun, result := l.server.config.Executor.Begin(ctx, task)
 	if begun == nil {
 		return result
@@ -298,6 +314,9 @@
 	if t.rolledBack {
 		return rolledBackResult(task)
 	}
+	if newest, ok := l.server.config.CheckTeam(task); !ok {
+		return rosecaller.OutdatedResult(task, rosecaller.InTransaction, newest)
+	}
 	result := t.Execute(ctx, task)
 	if !result.Open {
 		l.mu.Lock()
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -374,6 +374,10 @@
 	// Message is the target's error message.
 	Message *string `cbor:"Message,omitempty"`
 
+	// NewerVersion is the version of the configuration in force at a home proxy that
+	// refuses the statement because of it.
+	NewerVersion *uint64 `cbor:"NewerVersion,omitempty"`
+
 	// Number is the number of the Order.
 	Number uint64 `cbor:"Number"`
 
