rosecommand: teams in force at each proxy, settings and pages for operators

Cause: operators can't see which teams, keys and version a proxy serves, nor whether a caller is refused for its key, its cap or for lack of room.

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -93,6 +94,7 @@
 		Incarnation:       strconv.FormatInt(time.Now().UnixNano(), 36),
 		FirstStart:        settings.FirstStart,
 		LeavingTime:       time.Duration(settings.Limits.LeavingTime),
+		ConfigurationTime: time.Duration(settings.Limits.ConfigurationTime),
 		Store:             store,
 		Targets:           roseplatform.TargetRegistry{Store: store},
 		Configurations:    roseplatform.ConfigurationStore{Store: store},
@@ -118,7 +120,7 @@
 	nodeCtx, stopNode := context.WithCancel(context.Background())
 	defer stopNode()
 	ready := &http.Server{Handler: roseplatform.ReadyHandler(node.Ready), ReadHeaderTimeout: adminHeaderTimeout}
-	admin := &http.Server{Handler: adminHandler(node), ReadHeaderTimeout: adminHeaderTimeout}
+	admin := &http.Server{Handler: adminHandler(node, drainer.server), ReadHeaderTimeout: adminHeaderTimeout}
 	tasks := &errgroup.Group{}
 	tasks.Go(func() error { return drainer.server.Serve(listeners[0]) })
 	tasks.Go(func() error { return ignoreClosed(ready.Serve(listeners[1])) })
@@ -223,8 +225,14 @@
 	}
 }
 
-func adminHandler(node *rosenode.Node) http.Handler {
+func adminHandler(node *rosenode.Node, server *roseplatform.Server) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { node.Metrics().WriteText(w) })
+	mux.HandleFunc("GET "+teamsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(node.TeamsState(server.CallersByKey())); err != nil {
+			klog.InfoS("teams not sent", "err", roselog.ErrorMessage(err))
+		}
+	})
 	return mux
 }
--- a/internal/rosesettings/platform.go
+++ b/internal/rosesettings/platform.go
@@ -41,7 +41,7 @@
 	Callers string
 	// Ready is for the readiness checks of the load balancer.
 	Ready string
-	// Admin is for metrics.
+	// Admin is for metrics and the teams in force.
 	Admin string
 	// Peers is for other proxies.
 	Peers string
@@ -66,12 +66,16 @@
 	GraceTime rosebundle.Duration
 	// LeavingTime is how long after its report a leaving target may get new work.
 	LeavingTime rosebundle.Duration
+	// ConfigurationTime is within what time a proxy has to learn of a new configuration.
+	ConfigurationTime rosebundle.Duration
 }
 
 // Values that apply if the file sets none.
 const (
 	defaultGraceTime   = rosebundle.Duration(6 * time.Second)
 	defaultLeavingTime = rosebundle.Duration(rosefleet.DefaultLeavingTime)
+
+	defaultConfigurationTime = rosebundle.Duration(5 * time.Second)
 )
 
 // LoadPlatform reads and checks a settings file. The error is a
@@ -88,7 +92,7 @@
 // ParsePlatform reads and checks the text of a settings file. Unknown keys are
 // ignored, as the platform's template may be newer than this program.
 func ParsePlatform(text string) (PlatformSettings, error) {
-	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime, LeavingTime: defaultLeavingTime}}
+	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime, LeavingTime: defaultLeavingTime, ConfigurationTime: defaultConfigurationTime}}
 	if _, err := toml.Decode(text, &v); err != nil {
 		return v, &rosebundle.ValidationError{Faults: []rosebundle.Fault{
 			{Key: "(file)", Problem: err.Error(), Remedy: "correct the TOML"},
@@ -126,5 +130,6 @@
 	add(v.Limits.MemoryMb < 0, "Limits.MemoryMb", "it is negative", "set it to the memory of the process in MiB, or 0")
 	add(v.Limits.GraceTime <= 0, "Limits.GraceTime", "it is not positive", "set it to the time between SIGTERM and SIGKILL")
 	add(v.Limits.LeavingTime <= 0, "Limits.LeavingTime", "it is not positive", "set it to the time for which a leaving target may get new work")
+	add(v.Limits.ConfigurationTime <= 0, "Limits.ConfigurationTime", "it is not positive", "set it to the time within which a configuration has to be in force")
 	return faults
 }
--- a/internal/rosesettings/platform_test.go
+++ b/internal/rosesettings/platform_test.go
@@ -22,16 +22,18 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(time.Duration(settings.Limits.GraceTime), qt.Equals, 6*time.Second)
 	c.Check(time.Duration(settings.Limits.LeavingTime), qt.Equals, 10*time.Second)
+	c.Check(time.Duration(settings.Limits.ConfigurationTime), qt.Equals, 3*time.Second)
 
-	without := strings.ReplaceAll(string(text), `LeavingTime = "10000ms"`, "")
+	without := strings.NewReplacer(`LeavingTime = "10000ms"`, "", `ConfigurationTime = "3000ms"`, "").Replace(string(text))
 	settings, err = rosesettings.ParsePlatform(without)
 	c.Assert(err, qt.IsNil)
 	c.Check(time.Duration(settings.Limits.LeavingTime), qt.Equals, 7*time.Second)
+	c.Check(time.Duration(settings.Limits.ConfigurationTime), qt.Equals, 5*time.Second)
 }
 
 func TestEveryPlatformFaultIsListed(t *testing.T) {
 	c := qt.New(t)
-	_, err := rosesettings.ParsePlatform(`Limits = { CoreShare = -1, MemoryMb = -1, GraceTime = "0s", LeavingTime = "-1s" }`)
+	_, err := rosesettings.ParsePlatform(`Limits = { CoreShare = -1, MemoryMb = -1, GraceTime = "0s", LeavingTime = "-1s", ConfigurationTime = "0s" }`)
 	c.Assert(err, qt.IsNotNil)
 	lines := strings.Split(err.Error(), "\n")
 	slices.Sort(lines)
