--- a/pkg/roserelay/server.go
+++ b/pkg/roserelay/server.go
@@ -263,7 +263,7 @@
 		result = l.runOutsideTransaction(ctx, task)
 	}
 	if result.Refusal != nil {
-		klog.InfoS("task of another proxy refused", "request", task.Statement.ID, "group", task.Route.Group, "do", order.Do,
+		klog.InfoS("task of another proxy refused", "request", task.Statement.ID, "group", task.Route.Group, "team", task.Team, "do", order.Do,
 			"kind", result.Refusal.Kind, "outcome", result.Refusal.Outcome, "target", result.Target, "message", result.Refusal.Message)
 	}
 	l.sendResult(ctx, encodeResult(order.Number, result))
