rosefleet: say why a target isn't used for reads

Cause: nothing told a replica's lag, that a lost target is back, or why reads avoid one; a replica known to be far behind was tried again every 60 ms. Change: rosedecision.Use decides whether a read may run on a target, and its reason is logged when it changes, at most once a second for each target. A replica known to be 500 ms or more beyond what a read accepts isn't tried. The lag that a target tells is read; TestParseStatus now expects it too.

--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -79,9 +79,9 @@
 	// connectionRefused is set when the target's VM answered that no process
 	// listens on the port.
 	connectionRefused bool
-	// backoffUntil is until when reads avoid the target as a replica, because it
-	// had not reached their minimum position or had no connection left.
-	backoffUntil time.Time
+	// behindUntil and fullUntil are until when reads avoid the target as a replica,
+	// because it had not reached their minimum position or had no connection left.
+	behindUntil, fullUntil time.Time
 	// lag is how far behind the primary the target was at lagAt.
 	lag   time.Duration
 	lagAt time.Time
@@ -91,6 +91,8 @@
 	responseTime time.Duration
 	// reliability is what the last exchanges say of the target.
 	reliability rosedecision.Reliability
+	// reported is what was last logged about the use of the target.
+	reported reportedUse
 }
 
 // NewGroup returns a group without targets.
@@ -215,6 +217,9 @@
 	}
 	before, _ := g.primaryTracker.Primary()
 	g.primaryTracker.Observe(status, sentAt)
+	if !e.unreachableSince.IsZero() {
+		klog.InfoS("target back", "group", g.config.Name, "target", e.target.ID, "after", g.config.Clock.Now().Sub(e.unreachableSince))
+	}
 	e.unreachableSince, e.connectionRefused = time.Time{}, false
 	e.observeApplied(status.Applied, sentAt)
 	if status.Role == rosemary.RolePrimary {
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -152,17 +152,9 @@
 
 // canServe reports whether e can serve a read. The lock must be held.
 func (g *Group) canServe(e *endpoint, primary rosegroup.PrimaryLease, valid bool, now time.Time, request Request) bool {
-	status, _, seen := g.primaryTracker.Status(e.target.ID)
-	if !seen || !e.unreachableSince.IsZero() {
-		return false
-	}
-	if e.target.ID == primary.Target {
-		return valid && !e.pastLeavingGrace(now)
-	}
-	if now.Before(e.backoffUntil) && !g.caughtUp(e, now, request.MinPosition) {
-		return false
-	}
-	return !request.MinPosition.IsZero() && status.Role == rosemary.RoleReplica && !e.leaving
+	unused := g.use(e, primary, valid, now, request.MinPosition).Unused(now)
+	g.reportUse(e, unused, now, request.MinPosition)
+	return unused == rosedecision.Used
 }
 
 // acquireFrom takes a connection to e. It returns neither a lease nor a refusal if
@@ -221,7 +213,7 @@
 func (g *Group) handleDialError(ctx context.Context, e *endpoint, err error) {
 	if trace.IsLimitExceeded(err) {
 		g.mu.Lock()
-		e.backoffUntil = g.config.Clock.Now().Add(replicaBackoff)
+		e.fullUntil = g.config.Clock.Now().Add(replicaBackoff)
 		g.mu.Unlock()
 		roseclock.Sleep(ctx, chooseInterval)
 		return
@@ -303,7 +295,7 @@
 	case rosemary.FailureLagging:
 		g.mu.Lock()
 		now := g.config.Clock.Now()
-		e.backoffUntil = now.Add(replicaBackoff)
+		e.behindUntil = now.Add(replicaBackoff)
 		e.observeApplied(answer.Position, now)
 		g.mu.Unlock()
 		return
--- a/pkg/rosemary/status.go
+++ b/pkg/rosemary/status.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -112,6 +113,9 @@
 	Streaming bool
 	// Leaving is set if the target accepts no new work.
 	Leaving bool
+	// ReportedLag is how far behind its primary the target says that it is; zero if not
+	// reported.
+	ReportedLag time.Duration
 	// PausedTerm is the term for which Conn.Pause has fenced the target;
 	// zero for none.
 	PausedTerm uint64
