--- a/internal/roseexplain/line.go
+++ b/internal/roseexplain/line.go
@@ -14,6 +14,9 @@
 
 // Line is one log line.
 type Line struct {
+	// Process is the word before the header, which a collector of several logs may add;
+	// empty if there is none.
+	Process string
 	// Time has no year and comes from the clock of the process that wrote the
 	// line.
 	Time time.Time
@@ -70,6 +73,10 @@
 	if len(words) < 4 {
 		return Line{}, false
 	}
+	process := ""
+	if len(words) > 4 {
+		process = words[len(words)-5]
+	}
 	words = words[len(words)-4:]
 	if len(words[0]) < 2 {
 		return Line{}, false
@@ -78,7 +85,7 @@
 	if err != nil {
 		return Line{}, false
 	}
-	line := Line{Time: at, Text: text[headerEnd+2:], Fields: make(map[string]string)}
+	line := Line{Process: process, Time: at, Text: text[headerEnd+2:], Fields: make(map[string]string)}
 	event, rest, ok := cutQuoted(line.Text)
 	if !ok {
 		return Line{}, false
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -320,10 +320,24 @@
 // Served counts and logs a successful answer.
 func (n *Node) Served(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
 	n.metrics.observeStatement(task.Route.Class.Name, task.Statement.Kind, result.Primary, took)
+	if objective := task.Route.LatencyObjective; objective > 0 && took > objective {
+		n.logLate(task, result, took)
+		return
+	}
 	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
 		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds())
 }
 
+// logLate logs an answer after its objective with where the time went.
+func (n *Node) logLate(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
+	spent := result.Spent
+	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
+		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds(),
+		"late", true, "class", task.Route.Class.Name, "zone", n.config.Self.Zone, "team", task.Team, "tries", spent.Tries,
+		"targetWaitUs", spent.TargetWait.Microseconds(), "connWaitUs", spent.ConnWait.Microseconds(),
+		"failedUs", spent.Failed.Microseconds(), "targetUs", spent.Target.Microseconds())
+}
+
 // Refused counts and logs a refusal.
 func (n *Node) Refused(database, id string, refusal *rosemary.Refusal, target rosemary.TargetID, took time.Duration) {
 	n.metrics.countRefusal(refusal)
@@ -332,7 +346,7 @@
 		version = configuration.Version
 	}
 	route, _ := n.Route(database)
-	klog.InfoS("request refused", "request", id, "database", database, "group", route.Group, "kind", refusal.Kind, "outcome", refusal.Outcome,
+	klog.InfoS("request refused", "request", id, "database", database, "group", route.Group, "class", route.Class.Name, "zone", n.config.Self.Zone, "kind", refusal.Kind, "outcome", refusal.Outcome,
 		"target", target, "us", took.Microseconds(), "configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
 }
 
--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -106,10 +106,12 @@
 		return rosemary.Answer{}, refusal
 	}
 	for {
+		askedAt := time.Now()
 		lease, refusal := execution.group.Acquire(ctx, j.request(execution, !statement.Writes))
 		if refusal != nil {
 			return rosemary.Answer{}, refusal
 		}
+		j.spent.acquired(lease, askedAt)
 		answer, result := j.try(execution, lease)
 		switch result {
 		case tryDone:
--- a/pkg/rosecaller/local_executor.go
+++ b/pkg/rosecaller/local_executor.go
@@ -91,13 +91,14 @@
 	// onPrimary is set if it was the primary of its group.
 	target    rosemary.TargetID
 	onPrimary bool
+	spent     spending
 }
 
 var _ Transaction = (*job)(nil)
 
 // Execute runs a further statement of the transaction.
 func (j *job) Execute(_ context.Context, task Task) Result {
-	j.task = task
+	j.task, j.spent = task, spending{}
 	return j.result(j.runNextStatement(task.Deadline, task.Statement))
 }
 
@@ -118,7 +119,7 @@
 	answer.TransactionState = j.transactionState
 	return Result{
 		Answer: answer, Refusal: refusal, MinPosition: j.task.MinPosition, MinPositionUnknown: j.task.MinPositionUnknown,
-		Target: j.target, Primary: j.onPrimary, Open: j.lease != nil,
+		Target: j.target, Primary: j.onPrimary, Open: j.lease != nil, Spent: j.spent.late(j.task.SoftDeadline),
 	}
 }
 
--- a/pkg/rosecaller/task.go
+++ b/pkg/rosecaller/task.go
@@ -54,6 +54,20 @@
 	Primary bool
 	// Open is set while the transaction is open on its target.
 	Open bool
+	// Spent is where the time went at the proxy that ran the task; zero unless its
+	// answer was late there.
+	Spent Spent
+}
+
+// Spent is where the time of a task went.
+type Spent struct {
+	// TargetWait is the time without a target that could run it, ConnWait that spent
+	// waiting for a connection.
+	TargetWait, ConnWait time.Duration
+	// Failed is the time of tries without a usable answer, and between them; Target is
+	// that of the last try.
+	Failed, Target time.Duration
+	Tries          int
 }
 
 // Executor runs tasks on targets, through this proxy's connections or those of
--- a/pkg/rosecaller/transaction.go
+++ b/pkg/rosecaller/transaction.go
@@ -70,10 +70,12 @@
 // beginTransaction acquires a connection and begins the transaction on it. If
 // it returns nil and the job has no lease, the caller should retry.
 func (j *job) beginTransaction(ctx context.Context, execution *execution) *rosemary.Refusal {
+	askedAt := time.Now()
 	lease, refusal := execution.group.Acquire(ctx, j.request(execution, j.task.ReadOnly))
 	if refusal != nil {
 		return refusal
 	}
+	j.spent.acquired(lease, askedAt)
 	j.setTarget(lease)
 	begin := rosemary.Statement{Kind: rosemary.StatementBegin, ReadOnly: j.task.ReadOnly}
 	if !lease.Primary() {
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -60,15 +60,26 @@
 	// term is the one that the target was primary of when the connection was
 	// acquired; zero for a replica.
 	term uint64
+	// targetWait and connWait are the waits for a target and for its connection.
+	targetWait, connWait time.Duration
 }
 
+// Waits returns how long the session waited for a target that could serve it, and how long
+// for the connection.
+func (l *ConnLease) Waits() (target, conn time.Duration) { return l.targetWait, l.connWait }
+
 // Acquire chooses a target and returns a connection to it. If it fails, nothing
 // was sent on behalf of the session.
 func (g *Group) Acquire(ctx context.Context, request Request) (*ConnLease, *rosemary.Refusal) {
+	var targetWait time.Duration
 	for {
+		askedAt := time.Now()
 		e, term, changed := g.choose(request)
 		if e != nil {
 			lease, refusal := g.acquireFrom(ctx, e, term, request)
+			if lease != nil {
+				lease.targetWait, lease.connWait = targetWait, time.Since(askedAt)
+			}
 			if lease != nil || refusal != nil {
 				return lease, refusal
 			}
@@ -79,6 +90,7 @@
 		if e == nil && !awaitChange(ctx, changed, request.Deadline) {
 			return nil, g.noTargetRefusal(request)
 		}
+		targetWait += time.Since(askedAt)
 	}
 }
 
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -150,6 +150,12 @@
 		Primary:     optional(r.Primary),
 		Open:        optional(r.Open),
 	}
+	if r.Spent != (rosecaller.Spent{}) {
+		result.Spent = &rosewire.Spent{
+			TargetWaitUs: uint64(r.Spent.TargetWait.Microseconds()), ConnWaitUs: uint64(r.Spent.ConnWait.Microseconds()),
+			FailedUs: uint64(r.Spent.Failed.Microseconds()), TargetUs: uint64(r.Spent.Target.Microseconds()), Tries: uint64(r.Spent.Tries),
+		}
+	}
 	if r.Refusal != nil {
 		result.Refusal = &rosewire.Refusal{
 			Kind: string(r.Refusal.Kind), Outcome: string(r.Refusal.Outcome), Message: r.Refusal.Message,
@@ -171,6 +177,12 @@
 		Primary:            orZero(r.Primary),
 		Open:               orZero(r.Open),
 	}
+	if s := r.Spent; s != nil {
+		result.Spent = rosecaller.Spent{
+			TargetWait: microseconds(s.TargetWaitUs), ConnWait: microseconds(s.ConnWaitUs),
+			Failed: microseconds(s.FailedUs), Target: microseconds(s.TargetUs), Tries: int(s.Tries),
+		}
+	}
 	if r.Refusal != nil {
 		result.Refusal = &rosemary.Refusal{
 			Kind: rosemary.RefusalKind(r.Refusal.Kind), Outcome: rosemary.Outcome(r.Refusal.Outcome), Message: r.Refusal.Message,
@@ -180,6 +192,8 @@
 	return result
 }
 
+func microseconds(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func send(ctx context.Context, conn *websocket.Conn, message rosewire.Message) error {
 	body, err := cbor.Marshal(message)
 	if err != nil {
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -389,6 +389,9 @@
 	// Rows are the rows returned by the target.
 	Rows []string `cbor:"Rows,omitempty"`
 
+	// Spent corresponds to the JSON schema field "Spent".
+	Spent *Spent `cbor:"Spent,omitempty"`
+
 	// Target is the target that ran the statement.
 	Target *string `cbor:"Target,omitempty"`
 
@@ -396,6 +399,24 @@
 	Uncertain *bool `cbor:"Uncertain,omitempty"`
 }
 
+// Spent is where the time of a late statement went.
+type Spent struct {
+	// ConnWaitUs is the time spent waiting for a connection.
+	ConnWaitUs uint64 `cbor:"ConnWaitUs"`
+
+	// FailedUs is the time of tries without a usable answer, and between them.
+	FailedUs uint64 `cbor:"FailedUs"`
+
+	// TargetUs is the time of the try that was answered.
+	TargetUs uint64 `cbor:"TargetUs"`
+
+	// TargetWaitUs is the time without a target that could run it.
+	TargetWaitUs uint64 `cbor:"TargetWaitUs"`
+
+	// Tries is the number of tries.
+	Tries uint64 `cbor:"Tries"`
+}
+
 // Statement is one request of a session.
 type Statement struct {
 	// ID is the client's identifier of the request.
