rosesupervisor: move a primary whose replicas apply late what they have received

Cause: records that replicas receive during a spell of late replication are applied up to 63 s later, and all later ones wait for them in order. Change: the holder of the failover lock moves the primary as if it were leaving, once all replicas that answer say that they are 10 s behind or more, one has received the log, and requests have queued for 500 ms without a pause; at most every 30 s. Homes pass on the lag that a target tells. To be measured.

--- a/internal/rosenode/statuses.go
+++ b/internal/rosenode/statuses.go
@@ -17,6 +17,8 @@
 	statusPollInterval = 250 * time.Millisecond
 	// statusPollTimeout bounds the wait for a reply.
 	statusPollTimeout = 200 * time.Millisecond
+	// minSharedLag is the least lag told by a target that is passed on.
+	minSharedLag = time.Second
 )
 
 // pollStatuses polls the statuses of targets from other proxies. One proxy
@@ -114,6 +116,10 @@
 	if !s.UnfencedSince.IsZero() {
 		fact.FreeMs = uint64(s.SentAt.Sub(s.UnfencedSince).Milliseconds())
 	}
+	if lag := s.Status.ReportedLag; lag >= minSharedLag {
+		lagMs := uint64(lag.Milliseconds())
+		fact.LagMs = &lagMs
+	}
 	return fact
 }
 
@@ -122,15 +128,19 @@
 	if f.Primary {
 		role = rosemary.RolePrimary
 	}
+	lag := time.Duration(0)
+	if f.LagMs != nil {
+		lag = time.Duration(*f.LagMs) * time.Millisecond
+	}
 	sentAt := askedAt.Add(-time.Duration(f.AgeMs) * time.Millisecond)
 	return rosegroup.SharedStatus{
 		Status: rosemary.Status{
 			Target:     rosemary.TargetID(f.Target),
 			Role:       role,
 			Term:       f.Term,
-			PausedTerm: f.Held,
-			Position:   rosemary.Position{LogTerm: f.LogTerm, Offset: f.Offset},
-			Applied:    rosemary.Position{LogTerm: f.AppliedTerm, Offset: f.AppliedOffset},
+			PausedTerm: f.Held, ReportedLag: lag,
+			Position: rosemary.Position{LogTerm: f.LogTerm, Offset: f.Offset},
+			Applied:  rosemary.Position{LogTerm: f.AppliedTerm, Offset: f.AppliedOffset},
 		},
 		SentAt: sentAt,
 		// Without a FreeMs, the target counts as unfenced from sentAt on.
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -440,6 +440,12 @@
 	// ConnectionRefused is set when the target's VM answered that no process
 	// listens on the port.
 	ConnectionRefused bool
+	// ReceivedLag is how far behind the primary the log is that the target had received
+	// when its status was requested.
+	ReceivedLag time.Duration
+	// QueuedFor is how long requests have queued for connections to the target without a
+	// pause.
+	QueuedFor time.Duration
 }
 
 // View is a snapshot of a group.
@@ -470,6 +476,7 @@
 		t := TargetView{
 			TargetRegistration: rosemary.TargetRegistration{Target: e.target, Group: g.config.Name, Slots: e.slots, Leaving: e.leaving, Incarnation: e.incarnation},
 			Status:             status, SeenAt: seenAt, ConnectionRefused: e.connectionRefused,
+			ReceivedLag: g.primaryTracker.Lag(status.Position, seenAt), QueuedFor: e.pool.queuedFor(),
 		}
 		if !e.unreachableSince.IsZero() {
 			t.UnreachableFor = now.Sub(e.unreachableSince)
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -306,6 +306,13 @@
 	return queue.Wait(), queue.Admits(request.SoftDeadline, request.Deadline, now)
 }
 
+// queuedFor returns how long requests have queued without a pause.
+func (p *pool) queuedFor() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue(time.Now()).QueuedFor
+}
+
 // queue returns what is known of the queue at now, without a new request's place. The
 // lock must be held.
 func (p *pool) queue(now time.Time) rosedecision.Queue {
--- a/pkg/rosesupervisor/assess.go
+++ b/pkg/rosesupervisor/assess.go
@@ -39,17 +39,23 @@
 	// ActionUnfence is for a primary that answers while replicas are still fenced for
 	// its replacement, as after their promoter died.
 	ActionUnfence
+	// ActionRelieve is for a busy primary whose replicas serve no reads for long, as they
+	// apply late what they have received.
+	ActionRelieve
 )
 
 // actionNames are the values of the log field "need". Operators search logs for
 // them, so they stay when a constant is renamed.
-var actionNames = []string{"nothing", "follow", "move", "primary", "reunion", "unfence"}
+var actionNames = []string{"nothing", "follow", "move", "primary", "reunion", "unfence", "relief"}
 
 // String returns the value of the log field "need".
 func (a Action) String() string { return actionNames[a] }
 
 // planned reports whether the action replaces a primary that answers.
-func (a Action) planned() bool { return a == ActionSwitchover || a == ActionReplaceIsolated }
+func (a Action) planned() bool { return a.switchover() || a == ActionReplaceIsolated }
+
+// switchover reports whether the action moves a primary that works.
+func (a Action) switchover() bool { return a == ActionSwitchover || a == ActionRelieve }
 
 // How long a condition has to persist before it is acted on, so that
 // transient states are ignored.
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -67,6 +67,9 @@
 	// plannedRetryDelay separates attempts to replace a primary that answers, each of
 	// which interrupts writes.
 	plannedRetryDelay = 2 * time.Second
+	// relieveInterval separates moves of a primary for its replicas' sake, each of which
+	// interrupts the group.
+	relieveInterval = 30 * time.Second
 	// replaceRetryDelay follows a failed replacement or promotion request.
 	replaceRetryDelay = 100 * time.Millisecond
 )
@@ -123,6 +126,8 @@
 	// plannedAfter is when a primary that answers may be replaced, after an attempt
 	// that had to promote it again.
 	plannedAfter time.Time
+	// relieveAfter is when a primary may be moved again for its replicas' sake.
+	relieveAfter time.Time
 	// promotions is what is known of the platform's acceptance of promotions.
 	promotions promotionCheck
 	// generation is that of the lock under which the current attempt began.
@@ -242,6 +247,9 @@
 		action = ActionReplaceIsolated
 	}
 	now := r.config.Clock.Now()
+	if action == ActionRelieve && now.Before(r.relieveAfter) {
+		action = ActionNone
+	}
 	if action != r.action {
 		r.action, r.actionSince = action, now
 	}
@@ -264,7 +272,7 @@
 	if action.planned() && r.config.Clock.Now().Before(r.plannedAfter) {
 		return
 	}
-	if !due || action == ActionSwitchover && !r.promotionsAccepted(ctx, view) {
+	if !due || action.switchover() && !r.promotionsAccepted(ctx, view) {
 		return
 	}
 	if !r.confirmedByPeers(ctx, action, view) {
@@ -272,6 +280,9 @@
 	}
 	klog.InfoS("replacement begins", "group", r.config.Group.Name(), "need", action.String(), "primary", view.PrimaryLease.Target,
 		"term", view.Term, "failingFor", view.PrimaryTarget.UnreachableFor, "refused", view.PrimaryTarget.ConnectionRefused, "leaving", view.PrimaryTarget.Leaving)
+	if action == ActionRelieve {
+		r.relieveAfter = r.config.Clock.Now().Add(relieveInterval)
+	}
 	r.setReplacing(true)
 	err := r.replace(ctx, action, view)
 	r.setReplacing(false)
@@ -294,7 +305,7 @@
 // connection too.
 func (r *Replacer) confirmedByPeers(ctx context.Context, action Action, view rosefleet.View) bool {
 	members := r.config.ProxyCount()
-	if action == ActionSwitchover || r.config.Voters == nil || len(r.config.Locks.Members()) <= 1 {
+	if action.switchover() || r.config.Voters == nil || len(r.config.Locks.Members()) <= 1 {
 		return true
 	}
 	now := r.config.Clock.Now()
@@ -398,7 +409,7 @@
 // demote has the current primary step down: always for a switchover, and
 // otherwise only if it answers.
 func (r *Replacer) demote(ctx context.Context, view rosefleet.View, action Action, term uint64) (bool, rosemary.Status) {
-	if !view.HasPrimaryTarget || action != ActionSwitchover && view.PrimaryTarget.UnreachableFor > 0 {
+	if !view.HasPrimaryTarget || !action.switchover() && view.PrimaryTarget.UnreachableFor > 0 {
 		return false, rosemary.Status{}
 	}
 	status, err := r.controlTarget(ctx, view.PrimaryLease.Target, "step down", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) {
--- a/pkg/rosesupervisor/replace_assess.go
+++ b/pkg/rosesupervisor/replace_assess.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 )
@@ -27,10 +28,24 @@
 		return ActionSwitchover, 0
 	case !view.PrimaryValid && pausedForNewerTerm(view):
 		return ActionUnfence, rosegroup.MaxPromotionTime
+	case view.PrimaryValid && !pausedForNewerTerm(view) && stall(view).MovePrimary():
+		return ActionRelieve, 0
 	}
 	return ActionNone, 0
 }
 
+// stall returns what is known of the group's replicas that answer.
+func stall(view rosefleet.View) rosedecision.Stall {
+	s := rosedecision.Stall{QueuedFor: view.PrimaryTarget.QueuedFor}
+	for _, t := range view.Targets {
+		if t.ID == view.PrimaryLease.Target || t.SeenAt.IsZero() || t.UnreachableFor > 0 {
+			continue
+		}
+		s.Replicas = append(s.Replicas, rosedecision.StalledReplica{Lag: t.Status.ReportedLag, ReceivedLag: t.ReceivedLag, Leaving: t.Leaving})
+	}
+	return s
+}
+
 // anyStatusUnknown reports whether there is a target of which neither a status
 // is known nor that it doesn't answer.
 func anyStatusUnknown(view rosefleet.View) bool {
--- a/pkg/rosesupervisor/replace_test.go
+++ b/pkg/rosesupervisor/replace_test.go
@@ -26,6 +26,16 @@
 	return v
 }
 
+// stallReplicas has the replicas apply late, while requests queue for the primary.
+func stallReplicas(queuedFor time.Duration) func(v *rosefleet.View) {
+	return func(v *rosefleet.View) {
+		v.PrimaryTarget.QueuedFor = queuedFor
+		for i := range v.Targets[1:] {
+			v.Targets[1+i].Status.ReportedLag = time.Minute
+		}
+	}
+}
+
 func TestAssessReplacement(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -46,6 +56,12 @@
 			v.Targets[1].Status.PausedTerm = 2
 		}, ActionUnfence},
 		{"lease expired, no replica fenced", func(v *rosefleet.View) { v.PrimaryValid = false }, ActionNone},
+		{"replicas stalled, clients wait", stallReplicas(time.Second), ActionRelieve},
+		{"replicas stalled, nobody waits", stallReplicas(0), ActionNone},
+		{"replicas stalled and fenced", func(v *rosefleet.View) {
+			stallReplicas(time.Second)(v)
+			v.Targets[1].Status.PausedTerm = 2
+		}, ActionNone},
 		{"no status received yet", func(v *rosefleet.View) { v.Term = 0 }, ActionNone},
 		{"single target", func(v *rosefleet.View) { v.Targets = v.Targets[:1] }, ActionNone},
 	}
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -52,6 +52,10 @@
 	// zero for none.
 	Held uint64 `cbor:"Held"`
 
+	// LagMs is how far behind its primary the target says that it is, if it is far
+	// behind.
+	LagMs *uint64 `cbor:"LagMs,omitempty"`
+
 	// LogTerm is the log term of the target's last record.
 	LogTerm uint64 `cbor:"LogTerm"`
 
