rosecommand: show why targets aren't used

Cause: an operator couldn't ask a proxy why it doesn't use a replica. Change: the admin address of a proxy on the platform tells the use of its targets by the type that decides on it, and rosemary targets prints a table. PostgreSQL proxies don't have it, as their router has decisions of its own.

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
@@ -226,5 +227,10 @@
 func adminHandler(node *rosenode.Node) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { node.Metrics().WriteText(w) })
+	mux.HandleFunc("GET /targets", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An error means that the client is gone.
+		_ = json.NewEncoder(w).Encode(node.TargetUses())
+	})
 	return mux
 }
--- /dev/null
+++ b/internal/rosecommand/targets.go
@@ -0,0 +1,77 @@
+package rosecommand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
+)
+
+func init() {
+	register(command{"targets", "show whether proxies on the platform use their targets, and why not", runTargets})
+}
+
+// targetsReply is what one proxy tells of its targets, or the error of the request for it.
+type targetsReply struct {
+	Address string
+	Targets []rosefleet.TargetUse `json:",omitempty"`
+	Error   string                `json:",omitempty"`
+}
+
+func runTargets(ctx context.Context, streams IOStreams, args []string) error {
+	flags := flag.NewFlagSet("targets", flag.ContinueOnError)
+	admin := adminFlag(flags)
+	asJSON := flags.Bool("json", false, "print the targets as JSON")
+	if err := parseFlags(flags, streams, args); err != nil {
+		return err
+	}
+	var replies []targetsReply
+	for _, address := range strings.Split(*admin, ",") {
+		replies = append(replies, fetchTargets(ctx, address))
+	}
+	if *asJSON {
+		return printJSON(streams, replies)
+	}
+	return writeTargets(streams.Out, replies)
+}
+
+func fetchTargets(ctx context.Context, address string) targetsReply {
+	reply := targetsReply{Address: address}
+	body, err := adminRequest(ctx, http.MethodGet, address, "/targets", adminTimeout)
+	if err == nil {
+		err = json.Unmarshal(body, &reply.Targets)
+	}
+	if err != nil {
+		reply.Error = trace.UserMessage(err)
+	}
+	return reply
+}
+
+func writeTargets(out io.Writer, replies []targetsReply) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "PROXY\tGROUP\tTARGET\tROLE\tZONE\tUSED\tLAG\tAGE\tTELLS\tAPPLIED\tRECEIVED")
+	for _, r := range replies {
+		if r.Error != "" {
+			fmt.Fprintf(table, "%s\t%s\n", r.Address, r.Error)
+			continue
+		}
+		for _, t := range r.Targets {
+			used := "yes"
+			if t.Unused != "" {
+				used = "no, " + string(t.Unused)
+			}
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%v\t%v\t%v\t%s\t%s\n", r.Address, t.Group, t.Target, t.Role, t.Zone, used,
+				t.Lag.Round(time.Millisecond), t.LagAge.Round(time.Millisecond), t.ReportedLag.Round(time.Millisecond), t.Applied, t.Received)
+		}
+	}
+	return trace.Wrap(table.Flush())
+}
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -5,7 +5,9 @@
 package rosenode
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -399,6 +401,21 @@
 // AskedReaders returns the proxies that this one asks for what they know of the store.
 func (n *Node) AskedReaders() []rosemary.ProxyID { return n.askedReaders() }
 
+// TargetUses returns the use of the targets that this proxy is connected to, in the order of
+// their groups and IDs.
+func (n *Node) TargetUses() []rosefleet.TargetUse {
+	uses := []rosefleet.TargetUse{}
+	for _, name := range n.groupNames() {
+		if g, found := n.Group(name); found {
+			uses = append(uses, g.Uses()...)
+		}
+	}
+	slices.SortFunc(uses, func(a, b rosefleet.TargetUse) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Target, b.Target))
+	})
+	return uses
+}
+
 // HoldsLock reports whether this proxy holds the failover lock of a group.
 func (n *Node) HoldsLock(group string) bool {
 	_, _, holds := n.locks.Holds(group)
--- a/pkg/rosefleet/use.go
+++ b/pkg/rosefleet/use.go
@@ -73,3 +73,47 @@
 		"paused", status.PausedTerm, "statusAge", now.Sub(seenAt))
 	r.unused, r.at, r.changes = unused, now, 0
 }
+
+// viewedMaxAge is the age of the data that a read accepts for which Uses tells the use of the
+// targets.
+const viewedMaxAge = time.Second
+
+// TargetUse tells whether a target is used for reads, and if not, why.
+type TargetUse struct {
+	Group  string
+	Target rosemary.TargetID
+	Zone   rosemary.Zone
+	Role   rosemary.Role
+	// Unused is empty if the target is used.
+	Unused rosedecision.Unused
+	// Lag is how far behind the primary the target was LagAge ago. ReportedLag is what it
+	// tells itself, if this proxy knows that.
+	Lag, LagAge, ReportedLag time.Duration
+	// Applied and Received are its positions StatusAge ago.
+	Applied, Received string
+	StatusAge         time.Duration
+}
+
+// Uses returns the use of the group's targets for a read that accepts data one second old.
+func (g *Group) Uses() []TargetUse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Clock.Now()
+	primary, known := g.primaryTracker.Primary()
+	valid := known && g.config.AllowPrimary() && now.Before(primary.ValidUntil)
+	position, _ := g.primaryTracker.MinPosition(now.Add(-viewedMaxAge))
+	var uses []TargetUse
+	for id, e := range g.endpoints {
+		status, seenAt, seen := g.primaryTracker.Status(id)
+		use := TargetUse{Group: g.config.Name, Target: id, Zone: e.target.Zone, Unused: g.use(e, primary, valid, now, position).Unused(now)}
+		if seen {
+			use.Role, use.ReportedLag, use.StatusAge = status.Role, status.ReportedLag, now.Sub(seenAt)
+			use.Applied, use.Received = status.Applied.String(), status.Position.String()
+		}
+		if !e.lagAt.IsZero() {
+			use.Lag, use.LagAge = e.lag, now.Sub(e.lagAt)
+		}
+		uses = append(uses, use)
+	}
+	return uses
+}
