--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -5,7 +5,9 @@
 package rosenode
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -322,10 +324,24 @@
 func (n *Node) Served(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
 	n.metrics.observeStatement(task.Route.Class.Name, task.Statement.Kind, result.Primary, took)
 	n.metrics.countTeamRequest(task.Team, outcomeServed)
+	if objective := task.Route.LatencyObjective; objective > 0 && took > objective {
+		n.logLate(task, result, took)
+		return
+	}
 	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
 		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds())
 }
 
+// logLate logs an answer after its objective with where the time went.
+func (n *Node) logLate(task rosecaller.Task, result rosecaller.Result, took time.Duration) {
+	spent := result.Spent
+	klog.InfoS("request served", "request", task.Statement.ID, "database", task.Route.Database, "group", task.Route.Group,
+		"kind", task.Statement.Kind, "target", result.Target, "primary", result.Primary, "us", took.Microseconds(),
+		"late", true, "class", task.Route.Class.Name, "zone", n.config.Self.Zone, "team", task.Team, "tries", spent.Tries,
+		"targetWaitUs", spent.TargetWait.Microseconds(), "connWaitUs", spent.ConnWait.Microseconds(),
+		"failedUs", spent.Failed.Microseconds(), "targetUs", spent.Target.Microseconds())
+}
+
 // Refused counts and logs a refusal.
 func (n *Node) Refused(request rosecaller.RefusedRequest) {
 	refusal := request.Refusal
@@ -337,7 +353,7 @@
 	}
 	route, _ := n.Route(request.Database)
 	klog.InfoS("request refused", "request", request.ID, "database", request.Database, "group", route.Group, "team", request.Team,
-		"kind", refusal.Kind, "outcome", refusal.Outcome, "target", request.Target, "us", request.Took.Microseconds(),
+		"class", route.Class.Name, "zone", n.config.Self.Zone, "kind", refusal.Kind, "outcome", refusal.Outcome, "target", request.Target, "us", request.Took.Microseconds(),
 		"configuration", version, "retryAfterMs", refusal.RetryAfter.Milliseconds(), "message", refusal.Message)
 }
 
@@ -390,6 +406,21 @@
 // AskedReaders returns the proxies that this one asks for what they know of the store.
 func (n *Node) AskedReaders() []rosemary.ProxyID { return n.askedReaders() }
 
+// TargetUses returns the use of the targets that this proxy is connected to, in the order of
+// their groups and IDs.
+func (n *Node) TargetUses() []rosefleet.TargetUse {
+	uses := []rosefleet.TargetUse{}
+	for _, name := range n.groupNames() {
+		if g, found := n.Group(name); found {
+			uses = append(uses, g.Uses()...)
+		}
+	}
+	slices.SortFunc(uses, func(a, b rosefleet.TargetUse) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Target, b.Target))
+	})
+	return uses
+}
+
 // HoldsLock reports whether this proxy holds the failover lock of a group.
 func (n *Node) HoldsLock(group string) bool {
 	_, _, holds := n.locks.Holds(group)
--- a/pkg/rosecaller/transaction.go
+++ b/pkg/rosecaller/transaction.go
@@ -29,7 +29,7 @@
 			return rosemary.Answer{}, statementNotRun()
 		}
 		target := j.lease.Target()
-		answer, refusal := j.runNextStatement(execution.deadline, statement)
+		answer, refusal := j.runNextStatement(j.beginDeadline(execution), statement)
 		if !j.canRestart(statement, answer, refusal) {
 			return answer, refusal
 		}
@@ -70,10 +70,12 @@
 // beginTransaction acquires a connection and begins the transaction on it. If
 // it returns nil and the job has no lease, the caller should retry.
 func (j *job) beginTransaction(ctx context.Context, execution *execution) *rosemary.Refusal {
+	askedAt := time.Now()
 	lease, refusal := execution.group.Acquire(ctx, j.request(execution, j.task.ReadOnly))
 	if refusal != nil {
 		return refusal
 	}
+	j.spent.acquired(lease, askedAt)
 	j.setTarget(lease)
 	begin := rosemary.Statement{Kind: rosemary.StatementBegin, ReadOnly: j.task.ReadOnly}
 	if !lease.Primary() {
@@ -85,7 +87,7 @@
 		}
 	}
 	setup, state := j.setupStatements(lease, execution.statement)
-	answers, _, err := lease.Exchange(execution.deadline, append(setup, begin)...)
+	answers, _, err := lease.Exchange(j.beginDeadline(execution), append(setup, begin)...)
 	if err != nil {
 		lease.Release(false)
 		execution.avoid = lease.Target()
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -60,15 +60,26 @@
 	// term is the one that the target was primary of when the connection was
 	// acquired; zero for a replica.
 	term uint64
+	// targetWait and connWait are the waits for a target and for its connection.
+	targetWait, connWait time.Duration
 }
 
+// Waits returns how long the session waited for a target that could serve it, and how long
+// for the connection.
+func (l *ConnLease) Waits() (target, conn time.Duration) { return l.targetWait, l.connWait }
+
 // Acquire chooses a target and returns a connection to it. If it fails, nothing
 // was sent on behalf of the session.
 func (g *Group) Acquire(ctx context.Context, request Request) (*ConnLease, *rosemary.Refusal) {
+	var targetWait time.Duration
 	for {
+		askedAt := time.Now()
 		e, term, changed := g.choose(request)
 		if e != nil {
 			lease, refusal := g.acquireFrom(ctx, e, term, request)
+			if lease != nil {
+				lease.targetWait, lease.connWait = targetWait, time.Since(askedAt)
+			}
 			if lease != nil || refusal != nil {
 				return lease, refusal
 			}
@@ -79,6 +90,7 @@
 		if e == nil && !awaitChange(ctx, changed, request.Deadline) {
 			return nil, g.noTargetRefusal(request)
 		}
+		targetWait += time.Since(askedAt)
 	}
 }
 
@@ -152,17 +164,9 @@
 
 // canServe reports whether e can serve a read. The lock must be held.
 func (g *Group) canServe(e *endpoint, primary rosegroup.PrimaryLease, valid bool, now time.Time, request Request) bool {
-	status, _, seen := g.primaryTracker.Status(e.target.ID)
-	if !seen || !e.unreachableSince.IsZero() {
-		return false
-	}
-	if e.target.ID == primary.Target {
-		return valid && !e.pastLeavingGrace(now)
-	}
-	if now.Before(e.backoffUntil) && !g.caughtUp(e, now, request.MinPosition) {
-		return false
-	}
-	return !request.MinPosition.IsZero() && status.Role == rosemary.RoleReplica && !e.leaving
+	unused := g.use(e, primary, valid, now, request.MinPosition).Unused(now)
+	g.reportUse(e, unused, now, request.MinPosition)
+	return unused == rosedecision.Used
 }
 
 // acquireFrom takes a connection to e. It returns neither a lease nor a refusal if
@@ -221,7 +225,7 @@
 func (g *Group) handleDialError(ctx context.Context, e *endpoint, err error) {
 	if trace.IsLimitExceeded(err) {
 		g.mu.Lock()
-		e.backoffUntil = g.config.Clock.Now().Add(replicaBackoff)
+		e.fullUntil = g.config.Clock.Now().Add(replicaBackoff)
 		g.mu.Unlock()
 		roseclock.Sleep(ctx, chooseInterval)
 		return
@@ -303,7 +307,7 @@
 	case rosemary.FailureLagging:
 		g.mu.Lock()
 		now := g.config.Clock.Now()
-		e.backoffUntil = now.Add(replicaBackoff)
+		e.behindUntil = now.Add(replicaBackoff)
 		e.observeApplied(answer.Position, now)
 		g.mu.Unlock()
 		return
