roserelay: fetching a configuration doesn't count as a home's response time

Cause: the time to fetch the newer version was part of the record by which homes are ordered.

Change: the version is reported once the record is updated.

Conclusion: no measurement; the tests of outdated proxies pass.

--- a/pkg/roserelay/client.go
+++ b/pkg/roserelay/client.go
@@ -46,8 +46,8 @@
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	Dialer rosemary.Dialer
-	// OnOutdated is called before the result of a task is returned that the home at an
-	// address has refused because its configuration has a newer version. It may be nil.
+	// OnOutdated is called, before the result is returned, when the home at an address has
+	// refused a task because of a newer version of the configuration. It may be nil.
 	OnOutdated func(ctx context.Context, address string, version int64)
 }
 
@@ -66,7 +66,6 @@
 
 // link is the WebSocket connection to one home proxy.
 type link struct {
-	client  *Client
 	address string
 	// dialed is closed when the dial has ended and conn or err is set.
 	dialed   chan struct{}
@@ -153,9 +152,17 @@
 		}
 		return r
 	})
+	c.reportOutdated(ctx, l, result)
 	return result, number, delivery
 }
 
+// reportOutdated reports the version that a home has named with a refusal.
+func (c *Client) reportOutdated(ctx context.Context, l *link, result rosecaller.Result) {
+	if result.NewerVersion > 0 {
+		c.config.OnOutdated(ctx, l.address, result.NewerVersion)
+	}
+}
+
 // Close closes the connections to home proxies.
 func (c *Client) Close() { c.cancel() }
 
@@ -185,11 +192,12 @@
 	l.mu.Lock()
 	l.openTransactions++
 	l.mu.Unlock()
-	return &remoteTransaction{link: l, number: number, wrote: task.Statement.Writes}, result, Answered
+	return &remoteTransaction{client: c, link: l, number: number, wrote: task.Statement.Writes}, result, Answered
 }
 
 // remoteTransaction is a transaction that is open on a home proxy.
 type remoteTransaction struct {
+	client *Client
 	link   *link
 	number uint64
 	wrote  bool
@@ -202,6 +210,7 @@
 func (r *remoteTransaction) Execute(ctx context.Context, task rosecaller.Task) rosecaller.Result {
 	r.wrote = r.wrote || task.Statement.Writes
 	result, _, delivery := r.link.execute(ctx, &rosewire.Order{Do: doExecute, Transaction: &r.number}, task)
+	r.client.reportOutdated(ctx, r.link, result)
 	switch delivery {
 	case NotSent:
 		result = rosecaller.ConnectionLostResult(task, "", true, false)
@@ -241,7 +250,7 @@
 	c.mu.Lock()
 	l := c.links[home.Address]
 	if l == nil || l.canReplace() {
-		l = &link{client: c, address: home.Address, dialed: make(chan struct{}), pending: make(map[uint64]chan *rosewire.Result)}
+		l = &link{address: home.Address, dialed: make(chan struct{}), pending: make(map[uint64]chan *rosewire.Result)}
 		l.context, l.cancel = context.WithCancel(c.context)
 		c.links[home.Address] = l
 		go c.open(l, home)
@@ -379,11 +388,7 @@
 	}
 	result := l.awaitResult(ctx, pending, order.Do, task)
 	if result != nil {
-		decoded := decodeResult(result)
-		if decoded.NewerVersion > 0 {
-			l.client.config.OnOutdated(ctx, l.address, decoded.NewerVersion)
-		}
-		return decoded, number, Answered
+		return decodeResult(result), number, Answered
 	}
 	l.mu.Lock()
 	delete(l.pending, number)
