rosefleet: connections by team, and fair waiting among teams

Cause: the pool handed any idle connection to any team, though a connection belongs to the team in whose name it was opened, and a team that sent many times its usual load delayed all others.

Change: a pool knows the connections, recent use and waiting requests of each team. A request takes only connections of its team, or opens one, or the place of the idle one that is needed least. Free places go to teams by start-time fair queueing. ConnLimits.MaxInUse bounds the connections in use; openings at once are bounded by half of the target's slots. Reads prefer targets to which their team has a connection. Control calls use any idle connection. Counts of openings, evictions, waits and connections by team for metrics and operators.

--- a/pkg/rosedecision/queue.go
+++ b/pkg/rosedecision/queue.go
@@ -22,6 +22,9 @@
 	Ahead int
 	// HoldTime is how long a request holds its connection on average.
 	HoldTime time.Duration
+	// OpenTime is how long a connection takes to open for a new request; zero if it needs
+	// none.
+	OpenTime time.Duration
 	// QueuedFor is how long requests have been waiting without a pause; zero if none is.
 	QueuedFor time.Duration
 }
@@ -29,12 +32,12 @@
 // Overloaded reports whether requests have waited for too long for a short burst.
 func (q Queue) Overloaded() bool { return q.QueuedFor > OverloadThreshold }
 
-// Wait estimates how long a new request waits for a connection.
+// Wait estimates how long a new request waits for a connection, and for that to open.
 func (q Queue) Wait() time.Duration {
 	if q.Idle > 0 || q.Open < q.Limit {
-		return 0
+		return q.OpenTime
 	}
-	return time.Duration(float64(q.Ahead+1) / float64(max(q.Limit, 1)) * float64(q.HoldTime))
+	return q.OpenTime + time.Duration(float64(q.Ahead+1)/float64(max(q.Limit, 1))*float64(q.HoldTime))
 }
 
 // Admits reports whether a new request that arrives at now is worth queueing: its wait ends
--- a/pkg/rosedecision/target.go
+++ b/pkg/rosedecision/target.go
@@ -30,6 +30,9 @@
 	Primary   bool
 	// Avoid is set if the target has just failed to answer this request.
 	Avoid bool
+	// OpenTime is how long a connection to it takes to open for the request; zero if the
+	// request needs none.
+	OpenTime time.Duration
 	// Reliability is what its last answers say of it.
 	Reliability Reliability
 }
@@ -42,7 +45,7 @@
 	load := float64(t.InUse+t.Waiting) / float64(limit)
 	cost := time.Duration(float64(responseTime) * (1 + load) * (1 + costSpread*(spread-0.5)))
 	cost += responseTime * time.Duration(t.Waiting) / time.Duration(limit)
-	cost += t.Reliability.Cost(now)
+	cost += t.OpenTime + t.Reliability.Cost(now)
 	if t.OtherZone {
 		cost += crossZonePenalty
 	}
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -123,6 +123,9 @@
 	// Max is the maximum number of open connections, at least Share. A control
 	// call may open one more.
 	Max int
+	// MaxInUse is the maximum number of connections in use, which is that of requests at
+	// the target at once; Max if zero. Idle connections don't occupy the target.
+	MaxInUse int
 }
 
 // Update replaces the targets of the group and the connection limits of each.
@@ -151,7 +154,7 @@
 			g.notifyWaiters()
 		}
 		e.leaving, e.lastReadyAt, e.slots = r.Leaving, r.LastReadyAt, r.Slots
-		e.pool.setLimits(limits.Share, limits.Max)
+		e.pool.setLimits(limits, r.Slots)
 		e.pool.trim()
 	}
 	for id, e := range g.endpoints {
@@ -173,6 +176,7 @@
 		sampleRequests: make(chan struct{}, 1),
 		cancel:         cancel,
 	}
+	e.pool.group, e.pool.target = g.config.Name, r.ID
 	g.endpoints[r.ID] = e
 	klog.InfoS("target added", "group", g.config.Name, "target", r.ID, "address", r.Address, "zone", r.Zone, "born", r.Incarnation, "leaving", r.Leaving)
 	g.tasks.Go(func() { e.runSampler(ctx) })
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -50,6 +50,8 @@
 	Avoid rosemary.TargetID
 	// Team is the team on whose behalf the statement runs, empty if there are no teams.
 	Team string
+	// TeamPriority is lowest for the most important teams.
+	TeamPriority int
 }
 
 // ConnLease is a connection for the exclusive use of one session.
@@ -118,7 +120,7 @@
 		}
 		inUse, waiting, limit, _ := e.pool.load()
 		cost := rosedecision.Target{
-			ResponseTime: e.responseTime, InUse: inUse, Waiting: waiting, Limit: limit,
+			ResponseTime: e.responseTime, InUse: inUse, Waiting: waiting, Limit: limit, OpenTime: e.pool.openTime(request.Team),
 			OtherZone: e.target.Zone != g.config.Zone, Primary: id == primary.Target, Avoid: id == request.Avoid, Reliability: e.reliability,
 		}.Cost(now, rand.Float64())
 		if best == nil || cost < lowest {
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -1,7 +1,6 @@
 package rosefleet
 
 import (
-	"container/heap"
 	"sync"
 	"time"
 
@@ -14,12 +13,19 @@
 	holdTimeWeight = 0.1
 	// initialHoldTime is assumed until a connection has been returned.
 	initialHoldTime = 20 * time.Millisecond
+	// openTimeWeight is the weight of the time that a connection took to open in the moving
+	// average.
+	openTimeWeight = 0.1
+	// initialOpenTime is assumed until a connection has been opened.
+	initialOpenTime = 10 * time.Millisecond
 	// fullBackoff is how long a pool opens no connections after its target
 	// rejected one because it had none left.
 	fullBackoff = 100 * time.Millisecond
 	// maxConnIdle is how long connections beyond half of the proxy's share may
 	// stay idle.
 	maxConnIdle = 2 * time.Second
+	// closeDelay is how long a target may still count a connection that was closed.
+	closeDelay = 5 * time.Millisecond
 )
 
 // pooledConn is a connection with its bookkeeping.
@@ -32,49 +38,65 @@
 	sessionID    uint64
 	takenAt      time.Time
 	idleSince    time.Time
+	// expected is how long the request that uses the connection was expected to hold it.
+	expected time.Duration
+	// lent is set while a control call uses a connection that it didn't open.
+	lent bool
 }
 
 // pool holds the connections to one target. rosedecision decides which requests
-// wait, and in which order.
+// wait, and in which order, and which connections are closed for others. Requests
+// without a team count as those of a team without a name.
 type pool struct {
-	mu   sync.Mutex
+	// group and target are for logs.
+	group  string
+	target rosemary.TargetID
+
+	mu sync.Mutex
+	// idle holds the idle connections, the least recently used first.
 	idle []*pooledConn
-	open int
-	// limit is the maximum of open connections; share is this proxy's share of
+	// open counts the connections, with those that are being opened, and with those that
+	// the target may not have seen closed.
+	open, opening, closing int
+	// limit is the maximum of open connections, maxInUse that of connections in use and
+	// maxOpening that of connections opened at once; share is this proxy's share of
 	// those that the target accepts.
-	limit int
-	share int
+	limit, maxInUse, maxOpening int
+	share                       int
 	// fullUntil is until when the pool opens no connections.
 	fullUntil time.Time
-	waiting   waiterHeap
+	// teams holds the teams with connections, waiting requests or recent use.
+	teams map[string]*teamState
+	// queued holds those with waiting requests, of which there are waitingCount.
+	queued       []*teamState
+	waitingCount int
+	// multiTeam is set once a request has named a team.
+	multiTeam bool
+	virtual   rosedecision.VirtualTime
 	// queuedSince is since when the queue has been non-empty.
 	queuedSince  time.Time
 	sequence     uint64
 	closed       bool
 	meanHoldTime time.Duration
+	meanOpenTime time.Duration
+	// shortOpenings is the rate of openings for which there was no free place or took the
+	// last one.
+	shortOpenings rosedecision.Rate
+	counters      ConnCounters
 }
 
 func newPool() *pool {
-	return &pool{limit: 1, share: 1, meanHoldTime: initialHoldTime}
+	return &pool{
+		limit: 1, maxInUse: 1, maxOpening: 1, share: 1, meanHoldTime: initialHoldTime, meanOpenTime: initialOpenTime,
+		teams: make(map[string]*teamState),
+	}
 }
 
-// waiter is a request that waits for a connection.
-type waiter struct {
-	turn  rosedecision.Turn
-	index int
-	// granted receives a connection, or the right to open one.
-	granted chan grant
-}
+// inUse returns the number of connections in use. The lock must be held.
+func (p *pool) inUse() int { return p.open - p.closing - len(p.idle) }
 
-// grant ends the wait of a waiter. Without ok the waiter gets nothing, and has to
-// choose a target again unless it is shed.
-type grant struct {
-	conn *pooledConn
-	ok   bool
-	// shed is set for a request that is refused because the pool is overloaded
-	// and the answer would come too late.
-	shed bool
-}
+// busy reports whether as many connections are in use as allowed. The lock must be held.
+func (p *pool) busy() bool { return p.maxInUse < p.limit && p.inUse() >= p.maxInUse }
 
 // take returns an idle connection, or the right to open one (nil, true), or a
 // waiter. It prefers the connection that the request's session used last.
@@ -84,51 +106,138 @@
 	if p.closed {
 		return nil, false, nil
 	}
-	if len(p.idle) > 0 {
-		p.queuedSince = time.Time{}
-		return p.popIdle(request.SessionID), true, nil
-	}
-	if p.mayOpen(0) {
-		p.open++
-		return nil, true, nil
+	now := time.Now()
+	t := p.team(request.Team)
+	p.multiTeam = p.multiTeam || request.Team != ""
+	t.uses = t.uses.WithEvent(now)
+	t.share = t.share.WithPriority(request.TeamPriority)
+	if p.waitingCount == 0 {
+		p.virtual = p.virtual.WithIdle(now)
 	}
-	if p.queuedSince.IsZero() {
-		p.queuedSince = time.Now()
+	// A place to open a connection goes to the team whose turn it is.
+	if t.idle > 0 || !p.multiTeam || p.waitingCount == 0 {
+		if c, ok := p.claim(t, request.SessionID, now); ok {
+			t.share = t.share.WithServedAtOnce(p.virtual, p.expectedHold(c))
+			if c != nil && p.waitingCount == 0 {
+				p.queuedSince = time.Time{}
+			}
+			return c, true, nil
+		}
 	}
-	p.sequence++
-	turn := rosedecision.Turn{Priority: request.Priority, Deadline: request.Deadline, SoftDeadline: request.SoftDeadline, Sequence: p.sequence}
-	if !time.Now().Before(turn.SoftDeadline) {
-		// The request was late before it was queued, so don't shed it for a
-		// delay that isn't the queue's.
-		turn.SoftDeadline = turn.Deadline
+	w := p.enqueue(t, request, now)
+	if p.multiTeam {
+		p.dispatch()
 	}
-	w := &waiter{turn: turn, granted: make(chan grant, 1)}
-	heap.Push(&p.waiting, w)
 	return nil, false, w
 }
 
-func (p *pool) popIdle(sessionID uint64) *pooledConn {
-	index := len(p.idle) - 1
-	for i := index; i >= 0; i-- {
+// claim returns an idle connection of a team, or the right to open one. The lock must be held.
+func (p *pool) claim(t *teamState, sessionID uint64, now time.Time) (*pooledConn, bool) {
+	if p.busy() {
+		return nil, false
+	}
+	if t.idle > 0 {
+		c := p.popIdle(p.idleIndex(t, sessionID))
+		c.takenAt, c.expected = now, p.expectedHold(c)
+		return c, true
+	}
+	if !p.mayOpenNow() {
+		return nil, false
+	}
+	p.countOpening(t)
+	p.makeRoomAhead(t, now)
+	return nil, true
+}
+
+// idleIndex returns the index of the idle connection of a team that the session used last, or
+// else of the one that the team used last; -1 if it has none.
+func (p *pool) idleIndex(t *teamState, sessionID uint64) int {
+	index := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].team != t.name {
+			continue
+		}
 		if p.idle[i].sessionID == sessionID {
+			return i
+		}
+		if index < 0 {
 			index = i
-			break
 		}
 	}
+	return index
+}
+
+func (p *pool) popIdle(index int) *pooledConn {
 	c := p.idle[index]
 	p.idle = append(p.idle[:index], p.idle[index+1:]...)
-	c.takenAt = time.Now()
+	p.team(c.team).idle--
 	return c
 }
 
+// pushIdle adds an idle connection. A control call doesn't count as a use.
+func (p *pool) pushIdle(c *pooledConn, now time.Time) {
+	p.team(c.team).idle++
+	if !c.lent || !p.multiTeam {
+		c.idleSince = now
+	}
+	c.lent = false
+	p.idle = append(p.idle, c)
+	for i := len(p.idle) - 1; i > 0 && c.idleSince.Before(p.idle[i-1].idleSince); i-- {
+		p.idle[i], p.idle[i-1] = p.idle[i-1], p.idle[i]
+	}
+}
+
 // mayOpen reports whether another connection may be opened, with extra added to the
 // limit. The lock must be held.
 func (p *pool) mayOpen(extra int) bool {
 	return p.open < p.limit+extra && !time.Now().Before(p.fullUntil)
 }
 
-// takeForControl returns an idle connection, or the right to open one, for a call
-// that must not queue behind statements. It also reports whether the pool had open
+// mayOpenNow reports whether a request may open a connection. The lock must be held.
+func (p *pool) mayOpenNow() bool {
+	return p.mayOpen(0) && (!p.multiTeam || p.opening < p.maxOpening)
+}
+
+func (p *pool) countOpening(t *teamState) {
+	p.open++
+	p.opening++
+	t.open++
+}
+
+// expectedHold estimates how long a request holds its connection, nil for a new one.
+func (p *pool) expectedHold(c *pooledConn) time.Duration {
+	if c == nil {
+		return p.meanHoldTime + p.meanOpenTime
+	}
+	return p.meanHoldTime
+}
+
+// opened records that a connection which the pool has granted was opened.
+func (p *pool) opened(c *pooledConn, started time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	p.counters.Opened++
+	p.meanOpenTime += time.Duration(openTimeWeight * float64(c.takenAt.Sub(started)-p.meanOpenTime))
+	c.expected = p.expectedHold(nil)
+	if p.multiTeam {
+		c.takenAt = started
+		p.dispatch()
+	}
+}
+
+// releaseOpening returns the right to open a connection.
+func (p *pool) releaseOpening(team string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.opening--
+	p.team(team).open--
+	p.dispatchAfterClose()
+}
+
+// takeForControl returns an idle connection of any team, or the right to open one, for a
+// call that must not queue behind statements. It also reports whether the pool had open
 // connections before.
 func (p *pool) takeForControl() (c *pooledConn, ok, hadOpen bool) {
 	p.mu.Lock()
@@ -136,82 +245,73 @@
 	if p.closed {
 		return nil, false, false
 	}
-	hadOpen = p.open > 0
+	hadOpen = p.open > p.closing
 	if len(p.idle) > 0 {
-		return p.popIdle(0), true, hadOpen
+		index := p.idleIndex(p.team(""), 0)
+		if index < 0 {
+			index = len(p.idle) - 1
+		}
+		c = p.popIdle(index)
+		c.takenAt, c.lent = time.Now(), true
+		return c, true, hadOpen
 	}
 	if p.mayOpen(1) {
-		p.open++
+		p.countOpening(p.team(""))
 		return nil, true, hadOpen
 	}
 	return nil, false, hadOpen
 }
 
-// abandon removes w from the queue, or passes on what it was granted.
-func (p *pool) abandon(w *waiter) {
-	p.mu.Lock()
-	if w.index >= 0 {
-		heap.Remove(&p.waiting, w.index)
-		p.mu.Unlock()
-		return
-	}
-	p.mu.Unlock()
-	g := <-w.granted
-	switch {
-	case g.conn != nil:
-		p.put(g.conn)
-	case g.ok:
-		p.drop(nil)
-	}
-}
-
 // put returns a reusable connection.
 func (p *pool) put(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.meanHoldTime += time.Duration(holdTimeWeight * float64(time.Since(c.takenAt)-p.meanHoldTime))
-	if p.closed || p.open > p.limit {
-		c.conn.Close()
-		p.open--
-		return
+	now := time.Now()
+	held := now.Sub(c.takenAt)
+	if !c.lent || !p.multiTeam {
+		p.meanHoldTime += time.Duration(holdTimeWeight * float64(held-p.meanHoldTime))
+		t := p.team(c.team)
+		t.share = t.share.WithActual(p.virtual, held, c.expected)
 	}
-	if w := p.nextWaiter(); w != nil {
-		c.takenAt = time.Now()
-		w.granted <- grant{conn: c, ok: true}
+	if p.closed || p.open-p.closing > p.limit {
+		p.discard(c)
+		if p.multiTeam {
+			p.dispatch()
+		}
 		return
 	}
-	c.idleSince = time.Now()
-	p.idle = append(p.idle, c)
+	p.pushIdle(c, now)
+	p.dispatch()
 }
 
-// trim closes connections beyond half of the share that have been idle for
-// maxConnIdle. After a power failure, a target holds the connections of the failed
-// proxies for some seconds, and until then the others can use only those left free.
-func (p *pool) trim() {
+// drop closes a connection that may be broken.
+func (p *pool) drop(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.open > max(p.share/2, 1) && len(p.idle) > 0 && time.Since(p.idle[0].idleSince) > maxConnIdle {
-		p.idle[0].conn.Close()
-		p.idle = p.idle[1:]
+	p.discard(c)
+	p.dispatchAfterClose()
+}
+
+// discard closes a connection that isn't idle. With teams, which compete for its place, the
+// place is free once the target has seen that. The lock must be held.
+func (p *pool) discard(c *pooledConn) {
+	c.conn.Close()
+	p.team(c.team).open--
+	if !p.multiTeam || p.closed {
 		p.open--
+		return
 	}
+	p.closing++
+	time.AfterFunc(closeDelay, p.freePlace)
 }
 
-// drop closes a connection that may be broken, or returns the right to open one.
-func (p *pool) drop(c *pooledConn) {
-	if c != nil {
-		c.conn.Close()
-	}
+// freePlace ends the time in which the target may count a closed connection.
+func (p *pool) freePlace() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	if p.closed || !p.mayOpen(0) {
-		return
-	}
-	if w := p.nextWaiter(); w != nil {
-		p.open++
-		w.granted <- grant{ok: true}
-	}
+	p.closing--
+	p.dispatch()
 }
 
 // markFull records that the target has no connection left for this pool.
@@ -229,43 +329,25 @@
 func (p *pool) reopen() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for !p.closed && p.mayOpen(0) {
-		w := p.nextWaiter()
-		if w == nil {
-			return
-		}
-		p.open++
-		w.granted <- grant{ok: true}
-	}
-}
-
-// nextWaiter removes the next waiter from the queue. Under overload it sheds the
-// waiters whose answer would come too late, so that the others are served in time.
-func (p *pool) nextWaiter() *waiter {
-	for len(p.waiting) > 0 {
-		w := heap.Pop(&p.waiting).(*waiter)
-		now := time.Now()
-		if !w.turn.Shed(p.queue(now), now) {
-			return w
-		}
-		w.granted <- grant{shed: true}
+	p.dispatch()
+	if p.waitingCount == 0 && p.mayOpen(0) {
+		p.queuedSince = time.Time{}
 	}
-	p.queuedSince = time.Time{}
-	return nil
 }
 
 // flush closes the idle connections and has every waiter choose a target again.
 func (p *pool) flush() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		c.conn.Close()
-		p.open--
+	for len(p.idle) > 0 {
+		p.discard(p.popIdle(0))
 	}
-	p.idle = nil
-	for w := p.nextWaiter(); w != nil; w = p.nextWaiter() {
-		w.granted <- grant{}
+	for len(p.queued) > 0 {
+		if w := p.nextWaiter(p.queued[0]); w != nil {
+			w.granted <- grant{}
+		}
 	}
+	p.queuedSince = time.Time{}
 }
 
 // close flushes the pool, which from then on keeps no connections.
@@ -276,72 +358,33 @@
 	p.flush()
 }
 
-func (p *pool) setLimits(share, limit int) {
+// setLimits sets the limits of the connections to a target with that many slots; zero if
+// unknown.
+func (p *pool) setLimits(limits ConnLimits, slots int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share = max(share, 1)
-	p.limit = max(limit, p.share)
+	p.share = max(limits.Share, 1)
+	p.limit = max(limits.Max, p.share)
+	p.maxInUse = p.limit
+	if limits.MaxInUse > 0 {
+		p.maxInUse = min(limits.MaxInUse, p.limit)
+	}
+	// Statements keep the other half of the slots.
+	p.maxOpening = max(slots/2, 1)
+	if !p.multiTeam || p.closed {
+		return
+	}
+	for p.open-p.closing > p.limit && len(p.idle) > 0 {
+		index, least := p.leastNeeded(nil, time.Now())
+		p.evict(index, least, "the limit was lowered")
+	}
+	p.dispatch()
 }
 
 // load returns the number of connections in use, of requests waiting and of
-// connections allowed, and how long a connection is held on average.
+// connections that may be in use, and how long a connection is held on average.
 func (p *pool) load() (inUse, waiting, limit int, holdTime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open - len(p.idle), len(p.waiting), p.limit, p.meanHoldTime
-}
-
-// admit estimates the wait of a new request, and reports whether it is worth queueing.
-func (p *pool) admit(request Request) (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	queue := p.queue(now)
-	turn := rosedecision.Turn{Priority: request.Priority, Deadline: request.Deadline, Sequence: p.sequence + 1}
-	for _, w := range p.waiting {
-		if w.turn.Before(turn) {
-			queue.Ahead++
-		}
-	}
-	return queue.Wait(), queue.Admits(request.SoftDeadline, request.Deadline, now)
-}
-
-// queue returns what is known of the queue at now, without a new request's place. The
-// lock must be held.
-func (p *pool) queue(now time.Time) rosedecision.Queue {
-	queue := rosedecision.Queue{Idle: len(p.idle), Open: p.open, Limit: p.limit, HoldTime: p.meanHoldTime}
-	if !p.queuedSince.IsZero() {
-		queue.QueuedFor = now.Sub(p.queuedSince)
-	}
-	return queue
-}
-
-// waiterHeap orders waiters by their turns.
-type waiterHeap []*waiter
-
-func (h waiterHeap) Len() int { return len(h) }
-
-func (h waiterHeap) Less(i, j int) bool { return h[i].turn.Before(h[j].turn) }
-
-func (h waiterHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-// Push implements heap.Interface.
-func (h *waiterHeap) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *waiterHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.index = -1
-	return w
+	return p.inUse(), p.waitingCount, p.maxInUse, p.meanHoldTime
 }
--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -215,15 +215,18 @@
 func (e *endpoint) dial(ctx context.Context, team string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	started := time.Now()
 	conn, err := e.group.config.Dialer.DialTarget(ctx, e.group.config.Name, e.target, team)
 	if err == nil {
-		return &pooledConn{conn: conn, team: team, takenAt: time.Now()}, nil
+		c := &pooledConn{conn: conn, team: team, takenAt: time.Now()}
+		e.pool.opened(c, started)
+		return c, nil
 	}
 	if trace.IsLimitExceeded(err) {
 		e.pool.markFull()
 		klog.V(1).InfoS("target has no connection left", "group", e.group.config.Name, "target", e.target.ID)
 	}
-	e.pool.drop(nil)
+	e.pool.releaseOpening(team)
 	return nil, err
 }
 
