rosefleet: leave an unreachable target at once, and no loss for a client that gave up

Cause: with few openings at once, each request of a team that waited for a target that doesn't answer tried to open a connection itself, one after the other. An opening that its client's end cut short counted as a failure of the target, and with teams a quarter of the requests open one.

Change: when a connection can't be opened, the target is marked as lost first, then all waiting requests choose again (with teams; without, as before). An opening that ended because the client gave up says nothing of the target, and the request is refused at once. Shares of teams aren't counted without teams.

--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -75,7 +75,7 @@
 				return lease, refusal
 			}
 		}
-		if !time.Now().Before(request.Deadline) || e == nil && g.config.ZonePartitioned() {
+		if ctx.Err() != nil || !time.Now().Before(request.Deadline) || e == nil && g.config.ZonePartitioned() {
 			return nil, g.noTargetRefusal(request)
 		}
 		if e == nil && !awaitChange(ctx, changed, request.Deadline) {
@@ -188,7 +188,7 @@
 	if c == nil {
 		var err error
 		if c, err = e.dial(ctx, request.Team); err != nil {
-			g.handleDialError(ctx, e, err)
+			g.handleDialError(ctx, e, request.Team, err)
 			return nil, nil
 		}
 		lease.pooled = c
@@ -220,15 +220,24 @@
 	return nil, false, e.overloadedRefusal(wait)
 }
 
-func (g *Group) handleDialError(ctx context.Context, e *endpoint, err error) {
+// handleDialError releases the right to open a connection, and records why that failed.
+func (g *Group) handleDialError(ctx context.Context, e *endpoint, team string, err error) {
 	if trace.IsLimitExceeded(err) {
 		g.mu.Lock()
 		e.backoffUntil = g.config.Clock.Now().Add(replicaBackoff)
 		g.mu.Unlock()
+		e.pool.releaseOpening(team, false)
 		roseclock.Sleep(ctx, chooseInterval)
 		return
 	}
+	if ctx.Err() != nil {
+		// The client gave up, which says nothing of the target.
+		e.pool.releaseOpening(team, false)
+		return
+	}
+	// Requests that are released next choose without this target.
 	g.observeFailure(e, g.config.Clock.Now(), err)
+	e.pool.releaseOpening(team, true)
 }
 
 // Target returns the target of the connection.
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -109,15 +109,15 @@
 	now := time.Now()
 	t := p.team(request.Team)
 	p.multiTeam = p.multiTeam || request.Team != ""
-	t.uses = t.uses.WithEvent(now)
-	t.share = t.share.WithPriority(request.TeamPriority)
-	if p.waitingCount == 0 {
-		p.virtual = p.virtual.WithIdle(now)
+	if p.multiTeam {
+		p.recordRequest(t, request, now)
 	}
 	// A place to open a connection goes to the team whose turn it is.
 	if t.idle > 0 || !p.multiTeam || p.waitingCount == 0 {
 		if c, ok := p.claim(t, request.SessionID, now); ok {
-			t.share = t.share.WithServedAtOnce(p.virtual, p.expectedHold(c))
+			if p.multiTeam {
+				t.share = t.share.WithServedAtOnce(p.virtual, p.expectedHold(c))
+			}
 			if c != nil && p.waitingCount == 0 {
 				p.queuedSince = time.Time{}
 			}
@@ -226,13 +226,18 @@
 	}
 }
 
-// releaseOpening returns the right to open a connection.
-func (p *pool) releaseOpening(team string) {
+// releaseOpening returns the right to open a connection. If the target is unreachable, all
+// teams' waiters choose a target again; without teams, as many as allowed try to open one.
+func (p *pool) releaseOpening(team string, unreachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
 	p.opening--
 	p.team(team).open--
+	if unreachable && p.multiTeam {
+		p.releaseQueued()
+		return
+	}
 	p.dispatchAfterClose()
 }
 
@@ -270,6 +275,8 @@
 	held := now.Sub(c.takenAt)
 	if !c.lent || !p.multiTeam {
 		p.meanHoldTime += time.Duration(holdTimeWeight * float64(held-p.meanHoldTime))
+	}
+	if !c.lent && p.multiTeam {
 		t := p.team(c.team)
 		t.share = t.share.WithActual(p.virtual, held, c.expected)
 	}
@@ -342,6 +349,11 @@
 	for len(p.idle) > 0 {
 		p.discard(p.popIdle(0))
 	}
+	p.releaseQueued()
+}
+
+// releaseQueued grants nothing to every waiter. The lock must be held.
+func (p *pool) releaseQueued() {
 	for len(p.queued) > 0 {
 		if w := p.nextWaiter(p.queued[0]); w != nil {
 			w.granted <- grant{}
--- a/pkg/rosefleet/pool_queue.go
+++ b/pkg/rosefleet/pool_queue.go
@@ -77,7 +77,7 @@
 	case g.conn != nil:
 		p.put(g.conn)
 	case g.ok:
-		p.releaseOpening(w.team.name)
+		p.releaseOpening(w.team.name, false)
 	}
 }
 
--- a/pkg/rosefleet/pool_teams.go
+++ b/pkg/rosefleet/pool_teams.go
@@ -38,6 +38,15 @@
 	return t
 }
 
+// recordRequest records a request of a team. The lock must be held.
+func (p *pool) recordRequest(t *teamState, request Request, now time.Time) {
+	t.uses = t.uses.WithEvent(now)
+	t.share = t.share.WithPriority(request.TeamPriority)
+	if p.waitingCount == 0 {
+		p.virtual = p.virtual.WithIdle(now)
+	}
+}
+
 // openTime estimates how long a connection takes to open for a team's next request; zero if
 // it needs none, or if there are no teams.
 func (p *pool) openTime(team string) time.Duration {
--- a/pkg/rosefleet/pool_teams_test.go
+++ b/pkg/rosefleet/pool_teams_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -265,3 +266,68 @@
 		})
 	}
 }
+
+// hungDialer opens no connection before ctx ends.
+type hungDialer struct{}
+
+// DialTarget waits for ctx.
+func (hungDialer) DialTarget(ctx context.Context, _ string, _ rosemary.Target, _ string) (rosemary.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// hungGroup returns a group with one target that doesn't answer.
+func hungGroup() (*Group, *endpoint) {
+	g := NewGroup(Config{Name: "g", Dialer: hungDialer{}, Clock: roseclock.Runtime{}})
+	e := &endpoint{group: g, target: rosemary.Target{ID: "t-1"}, pool: teamPool(17, 9), sampleRequests: make(chan struct{}, 1)}
+	g.endpoints["t-1"] = e
+	g.primaryTracker.SetTargets([]rosemary.TargetID{"t-1"})
+	g.primaryTracker.Observe(rosemary.Status{Target: "t-1", Role: rosemary.RoleReplica, Term: 1}, time.Now())
+	return g, e
+}
+
+// teamRead returns a read of a team that a replica may serve.
+func teamRead(team string) Request {
+	read := teamRequest(team)
+	read.MinPosition = rosemary.Position{LogTerm: 1, Offset: 1}
+	return read
+}
+
+// Requests of many teams leave a target that doesn't answer after one wait.
+func TestHungTargetIsLeftAfterOneWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, e := hungGroup()
+		start := time.Now()
+		var tasks sync.WaitGroup
+		for team := range 30 {
+			tasks.Go(func() {
+				read := teamRead(fmt.Sprint(team))
+				read.Deadline = start.Add(10 * dialTimeout)
+				lease, refusal := g.Acquire(t.Context(), read)
+				qt.Check(t, lease == nil && refusal != nil, qt.IsTrue)
+			})
+		}
+		time.Sleep(dialTimeout + time.Millisecond)
+		synctest.Wait()
+		inUse, waiting, _, _ := e.pool.load()
+		qt.Check(t, waiting, qt.Equals, 0)
+		// The other openings had begun before the failure.
+		qt.Check(t, inUse < e.pool.maxOpening, qt.IsTrue, qt.Commentf("%d", inUse))
+		tasks.Wait()
+	})
+}
+
+// A client that gives up while a connection opens says nothing of the target.
+func TestCancelledOpeningIsNoFailureOfTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, e := hungGroup()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		start := time.Now()
+		_, refusal := g.Acquire(ctx, teamRead("a"))
+		qt.Check(t, refusal, qt.IsNotNil)
+		qt.Check(t, time.Since(start), qt.Equals, 10*time.Millisecond)
+		qt.Check(t, e.unreachableSince.IsZero(), qt.IsTrue)
+		qt.Check(t, e.pool.open, qt.Equals, 0)
+	})
+}
--- a/pkg/rosefleet/sample.go
+++ b/pkg/rosefleet/sample.go
@@ -146,6 +146,7 @@
 			}
 			var err error
 			if c, err = e.dial(ctx, ""); err != nil {
+				e.pool.releaseOpening("", false)
 				return rosemary.Status{}, err
 			}
 		}
@@ -211,7 +212,8 @@
 	return <-p.result
 }
 
-// dial opens a connection that the pool has granted.
+// dial opens a connection that the pool has granted. If it fails, the caller has to release
+// the right to open it.
 func (e *endpoint) dial(ctx context.Context, team string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -226,7 +228,6 @@
 		e.pool.markFull()
 		klog.V(1).InfoS("target has no connection left", "group", e.group.config.Name, "target", e.target.ID)
 	}
-	e.pool.releaseOpening(team)
 	return nil, err
 }
 
