rosesettings: how far teams may exceed their usage caps

Cause: the operators' tolerance for usage caps was not among the settings.

Change: Limits.CapWindow, CapExcess and CapSlack, filled in by the platform's template.

--- a/internal/rosesettings/platform.go
+++ b/internal/rosesettings/platform.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosebundle"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 )
 
@@ -66,12 +67,19 @@
 	GraceTime rosebundle.Duration
 	// LeavingTime is how long after its report a leaving target may get new work.
 	LeavingTime rosebundle.Duration
+	// CapWindow, CapExcess and CapSlack tell how far teams may exceed their usage caps: in
+	// any CapWindow, by the part CapExcess of what the cap allows, and by CapSlack
+	// operations.
+	CapWindow rosebundle.Duration
+	CapExcess float64
+	CapSlack  float64
 }
 
 // Values that apply if the file sets none.
 const (
 	defaultGraceTime   = rosebundle.Duration(6 * time.Second)
 	defaultLeavingTime = rosebundle.Duration(rosefleet.DefaultLeavingTime)
+	defaultCapWindow   = rosebundle.Duration(rosecap.DefaultWindow)
 )
 
 // LoadPlatform reads and checks a settings file. The error is a
@@ -88,7 +96,7 @@
 // ParsePlatform reads and checks the text of a settings file. Unknown keys are
 // ignored, as the platform's template may be newer than this program.
 func ParsePlatform(text string) (PlatformSettings, error) {
-	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime, LeavingTime: defaultLeavingTime}}
+	v := PlatformSettings{Limits: PlatformLimits{GraceTime: defaultGraceTime, LeavingTime: defaultLeavingTime, CapWindow: defaultCapWindow}}
 	if _, err := toml.Decode(text, &v); err != nil {
 		return v, &rosebundle.ValidationError{Faults: []rosebundle.Fault{
 			{Key: "(file)", Problem: err.Error(), Remedy: "correct the TOML"},
@@ -126,5 +134,8 @@
 	add(v.Limits.MemoryMb < 0, "Limits.MemoryMb", "it is negative", "set it to the memory of the process in MiB, or 0")
 	add(v.Limits.GraceTime <= 0, "Limits.GraceTime", "it is not positive", "set it to the time between SIGTERM and SIGKILL")
 	add(v.Limits.LeavingTime <= 0, "Limits.LeavingTime", "it is not positive", "set it to the time for which a leaving target may get new work")
+	add(v.Limits.CapWindow <= 0, "Limits.CapWindow", "it is not positive", "set it to the window in which operations count towards usage caps")
+	add(v.Limits.CapExcess < 0, "Limits.CapExcess", "it is negative", "set it to the part by which usage caps may be exceeded, or 0")
+	add(v.Limits.CapSlack < 0, "Limits.CapSlack", "it is negative", "set it to the number of operations by which usage caps may be exceeded, or 0")
 	return faults
 }
--- a/internal/rosesettings/platform_test.go
+++ b/internal/rosesettings/platform_test.go
@@ -22,6 +22,8 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(time.Duration(settings.Limits.GraceTime), qt.Equals, 6*time.Second)
 	c.Check(time.Duration(settings.Limits.LeavingTime), qt.Equals, 10*time.Second)
+	c.Check(time.Duration(settings.Limits.CapWindow), qt.Equals, 5*time.Second)
+	c.Check([]float64{settings.Limits.CapExcess, settings.Limits.CapSlack}, qt.DeepEquals, []float64{0.1, 20})
 
 	without := strings.ReplaceAll(string(text), `LeavingTime = "10000ms"`, "")
 	settings, err = rosesettings.ParsePlatform(without)
@@ -31,7 +33,7 @@
 
 func TestEveryPlatformFaultIsListed(t *testing.T) {
 	c := qt.New(t)
-	_, err := rosesettings.ParsePlatform(`Limits = { CoreShare = -1, MemoryMb = -1, GraceTime = "0s", LeavingTime = "-1s" }`)
+	_, err := rosesettings.ParsePlatform(`Limits = { CoreShare = -1, MemoryMb = -1, GraceTime = "0s", LeavingTime = "-1s", CapWindow = "0s", CapExcess = -1, CapSlack = -1 }`)
 	c.Assert(err, qt.IsNotNil)
 	lines := strings.Split(err.Error(), "\n")
 	slices.Sort(lines)
