rosenode: usage caps lent by the holders of failover locks

Cause: proxies admitted operations of teams without regard to their caps.

Change: the proxies that run operations report to the holder of the lock of the group that rendezvous assigns to a team, with one question for all teams of that lender; it answers with shares and tokens.

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -19,6 +19,7 @@
 	"github.com/rosemarywell/rosemarywell/internal/rosenode"
 	"github.com/rosemarywell/rosemarywell/internal/rosesettings"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -90,9 +91,12 @@
 			Proxy: rosemary.ProxyID(settings.Name), Zone: rosemary.Zone(settings.Zone), Address: settings.Listen.Peers,
 			Weight: int(settings.Limits.CoreShare * weightPerCore),
 		},
-		Incarnation:       strconv.FormatInt(time.Now().UnixNano(), 36),
-		FirstStart:        settings.FirstStart,
-		LeavingTime:       time.Duration(settings.Limits.LeavingTime),
+		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		FirstStart:  settings.FirstStart,
+		LeavingTime: time.Duration(settings.Limits.LeavingTime),
+		CapPolicy: rosecap.Policy{
+			Window: time.Duration(settings.Limits.CapWindow), Excess: settings.Limits.CapExcess, Slack: settings.Limits.CapSlack,
+		},
 		Store:             store,
 		Targets:           roseplatform.TargetRegistry{Store: store},
 		Configurations:    roseplatform.ConfigurationStore{Store: store},
--- /dev/null
+++ b/internal/rosenode/caps_test.go
@@ -0,0 +1,180 @@
+package rosenode_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarywell/rosemarywell/platform/rosestandin"
+)
+
+const (
+	capTeam  = "hot"
+	capRate  = 100
+	capBurst = 100
+)
+
+// capInstallation is an installation of six proxies with one team that has a cap.
+type capInstallation struct {
+	*rosestandin.Installation
+
+	mu  sync.Mutex
+	ran []time.Time
+}
+
+func withCaps(t *testing.T, run func(c *qt.C, i *capInstallation)) {
+	t.Parallel()
+	c := qt.New(t)
+	i := &capInstallation{Installation: rosestandin.NewInstallation(rosestandin.InstallationConfig{ProxiesPerZone: 2})}
+	defer i.Close()
+	i.PutTeams(2, map[string]any{"name": capTeam, "api_keys": []string{"key"}, "rate_per_s": capRate, "burst": capBurst})
+	time.Sleep(4 * time.Second)
+	run(c, i)
+}
+
+// ask has the running proxies, unevenly, ask for rate operations a second for a time, and
+// returns how many were admitted.
+func (i *capInstallation) ask(length time.Duration, rate int, proxies ...*rosestandin.Proxy) int {
+	var tasks sync.WaitGroup
+	admitted := 0
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	n := 0
+	for end := time.Now().Add(length); time.Now().Before(end); n++ {
+		<-ticker.C
+		p := proxies[(n%7*n%5)%len(proxies)]
+		if !p.Running() {
+			continue
+		}
+		node := p.Node
+		tasks.Go(func() {
+			_, ok := node.AdmitOperation(capTeam)
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			if ok {
+				admitted++
+				i.ran = append(i.ran, time.Now())
+			}
+		})
+	}
+	tasks.Wait()
+	return admitted
+}
+
+// checkBound checks every window.
+func (i *capInstallation) checkBound(c *qt.C) {
+	policy := rosestandin.CapPolicy
+	bound := (capRate*policy.Window.Seconds()+capBurst)*(1+policy.Excess) + policy.Slack
+	first, worst := 0, 0
+	for n, at := range i.ran {
+		for at.Sub(i.ran[first]) >= policy.Window {
+			first++
+		}
+		worst = max(worst, n-first+1)
+	}
+	c.Check(float64(worst) <= bound, qt.IsTrue, qt.Commentf("%d operations in a window", worst))
+}
+
+// lender returns the proxy that lends the team's shares.
+func (i *capInstallation) lender() *rosestandin.Proxy {
+	for _, p := range i.Proxies {
+		if p.Running() && p.Node.HoldsLock(rosestandin.GroupName) {
+			return p
+		}
+	}
+	return nil
+}
+
+// others returns the proxies but one.
+func (i *capInstallation) others(p *rosestandin.Proxy) (others []*rosestandin.Proxy) {
+	for _, other := range i.Proxies {
+		if other != p {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// TestCapOfInstallation has a team ask for more than its cap.
+func TestCapOfInstallation(t *testing.T) {
+	withCaps(t, func(c *qt.C, i *capInstallation) {
+		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Check(float64(admitted) >= 0.99*(6*capRate+capBurst), qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.checkBound(c)
+	})
+}
+
+// TestCapLenderKilled has the lender die.
+func TestCapLenderKilled(t *testing.T) {
+	withCaps(t, func(c *qt.C, i *capInstallation) {
+		lender := i.lender()
+		c.Assert(lender, qt.IsNotNil)
+		others := i.others(lender)
+		i.ask(3*time.Second, 400, others...)
+		lender.Kill()
+		admitted := i.ask(10*time.Second, 400, others...)
+		// Only its own part, and what it hadn't lent, may be missing at first.
+		c.Check(admitted >= 10*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.checkBound(c)
+	})
+}
+
+// TestCapLenderCutOff cuts the lender's proxy off together with the store.
+func TestCapLenderCutOff(t *testing.T) {
+	withCaps(t, func(c *qt.C, i *capInstallation) {
+		lender := i.lender()
+		c.Assert(lender, qt.IsNotNil)
+		i.ask(3*time.Second, 400, i.Proxies...)
+		i.Isolate(lender.Name, rosestandin.StoreHost)
+		admitted := i.ask(9*time.Second, 400, i.Proxies...)
+		c.Check(admitted >= 9*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.Heal()
+		i.ask(4*time.Second, 400, i.Proxies...)
+		i.checkBound(c)
+	})
+}
+
+// TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it after its
+// shares have ended.
+func TestCapZoneCutOff(t *testing.T) {
+	withCaps(t, func(c *qt.C, i *capInstallation) {
+		zone := rosestandin.Zones[0]
+		var inside []*rosestandin.Proxy
+		for _, p := range i.Proxies {
+			if p.Host.Zone == zone {
+				inside = append(inside, p)
+			}
+		}
+		i.ask(4*time.Second, 400, inside...)
+		i.Isolate(zone)
+		admitted := i.ask(6*time.Second, 800, i.Proxies...)
+		c.Check(admitted >= 6*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.ask(13*time.Second, 800, i.Proxies...)
+		i.Heal()
+		i.ask(4*time.Second, 400, i.Proxies...)
+		i.checkBound(c)
+	})
+}
+
+// TestCapFleetRestarted restarts all proxies at once.
+func TestCapFleetRestarted(t *testing.T) {
+	withCaps(t, func(c *qt.C, i *capInstallation) {
+		i.ask(2*time.Second, 400, i.Proxies...)
+		for _, p := range i.Proxies {
+			p.Kill()
+		}
+		for _, p := range i.Proxies {
+			i.Start(p)
+		}
+		for end := time.Now().Add(10 * time.Second); i.lender() == nil && time.Now().Before(end); {
+			i.ask(50*time.Millisecond, 400, i.Proxies...)
+		}
+		c.Assert(i.lender(), qt.IsNotNil)
+		i.ask(2*time.Second, 400, i.Proxies...)
+		admitted := i.ask(4*time.Second, 400, i.Proxies...)
+		c.Check(float64(admitted) >= 0.99*4*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.checkBound(c)
+	})
+}
--- a/internal/rosenode/directory.go
+++ b/internal/rosenode/directory.go
@@ -102,7 +102,7 @@
 	}
 	next := newDirectory(n.config.Self, members, configuration, slots)
 	n.directory.Store(next)
-	n.mesh.SetCompanions(next.companions)
+	n.linkCompanions(next)
 	n.relayClient.Retain(next.allHomes())
 	klog.InfoS("homes worked out", "configuration", next.version, "members", len(members), "groups", len(next.groups), "companions", len(next.companions))
 	return next
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -7,7 +7,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+	"github.com/rosemarywell/rosemarywell/pkg/roseteam"
 )
 
 // Metrics holds the metrics of a node.
@@ -51,6 +53,21 @@
 	m.set.NewGauge("rosemary_targets_age_seconds", func() float64 { return age().Seconds() })
 }
 
+// trackOverCap adds counters of the operations refused as beyond the caps of teams.
+func (m *Metrics) trackOverCap(teams *roseteam.Directory, limiter *rosecap.Limiter) {
+	if teams == nil {
+		return
+	}
+	for i, t := range teams.Teams() {
+		if i >= maxTeamSeries {
+			return
+		}
+		m.set.GetOrCreateGauge("rosemary_team_over_cap_total{team="+strconv.Quote(t.Name)+"}", func() float64 {
+			return float64(limiter.Refused(t.Name))
+		})
+	}
+}
+
 // TrackDroppedLogLines adds a gauge for the number of dropped log lines.
 func (m *Metrics) TrackDroppedLogLines(dropped func() uint64) {
 	m.set.NewGauge("rosemary_log_lines_left_out", func() float64 { return float64(dropped()) })
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -32,7 +33,9 @@
 	FirstStart bool
 	// LeavingTime is how long after its report a leaving target may get new work;
 	// rosefleet.DefaultLeavingTime if zero.
-	LeavingTime    time.Duration
+	LeavingTime time.Duration
+	// CapPolicy is how far teams may exceed their usage caps.
+	CapPolicy      rosecap.Policy
 	Store          rosemary.MetadataStore
 	Targets        rosemary.TargetSource
 	Configurations rosemary.ConfigurationSource
@@ -69,6 +72,7 @@
 	relayServer           *roserelay.Server
 	relayClient           *roserelay.Client
 	metrics               *Metrics
+	caps                  *usageCaps
 	startedAt             time.Time
 	fetchingConfiguration atomic.Bool
 	// readTargetsNow makes followTargets read the targets at once.
@@ -142,8 +146,9 @@
 		readTargetsNow: make(chan struct{}, 1),
 	}
 	n.metrics.trackTargetsAge(n.targetsAge)
+	n.caps = newUsageCaps(n)
 	n.mesh = n.newMesh()
-	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
+	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget, Usage: n.caps.limiter})
 	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}})
 	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
@@ -179,7 +184,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.pollStatuses, n.pollGuarantees, n.followUsageCaps, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -203,6 +203,8 @@
 		return n.describeTargets(question)
 	case rosepeer.AboutStore:
 		return n.describeStore(question)
+	case rosepeer.AboutCaps:
+		return n.answerCaps(from, question)
 	}
 	n.mu.Lock()
 	g := n.groups[question.Group]
--- a/pkg/rosepeer/rendezvous.go
+++ b/pkg/rosepeer/rendezvous.go
@@ -59,3 +59,16 @@
 	}
 	return rank
 }
+
+// RendezvousChoice returns the name with the highest rendezvous score for key, or "" if
+// there are none. Adding or removing a name moves no key between the others.
+func RendezvousChoice(key string, names []string) string {
+	var best string
+	var highest uint64
+	for _, name := range names {
+		if s := score(key, rosemary.ProxyID(name)); best == "" || s > highest || s == highest && name < best {
+			best, highest = name, s
+		}
+	}
+	return best
+}
