rosecap: tokens for holders that can't keep one

Cause: a proxy that isn't a home, or one of more holders than a team has tokens, had no room for a token and refused everything. Proxies that aren't homes could also hold shares that a new lender doesn't wait for when all homes have restarted.

Change: such holders get tokens for the operations that wait, which the lender counts as outstanding until they are used or void; only homes get shares. The greatest number of homes lately counts from the start; a holder whose team was short a while ago waits for tokens again.

--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -25,8 +25,8 @@
 	capCheckInterval = 100 * time.Millisecond
 	// capReportTimeout bounds the wait for a lender's answer.
 	capReportTimeout = 300 * time.Millisecond
-	// maxHoldersTime is how long the number of holders is taken for what it was, after it
-	// has fallen: others may not have noticed that yet.
+	// maxHoldersTime is how long a greater number of holders counts after it has fallen:
+	// others may not have noticed that yet.
 	maxHoldersTime = time.Minute
 	// holdersStartTime is how long after its start a proxy assumes that there are
 	// homesAtStart homes of each group, as others may be starting too.
@@ -52,9 +52,10 @@
 	groups  []string
 	// groupsAt is when groups last changed.
 	groupsAt time.Time
-	// count is the number of holders that each part is worked out for, as of countAt.
-	count   int
-	countAt time.Time
+	// peak is the greatest number of holders known lately, as of peakAt. count is the number
+	// that each part is worked out for.
+	peak, count int
+	peakAt      time.Time
 	// lenders maps the groups whose locks this proxy holds to what it lends.
 	lenders map[string]*groupLender
 	// lentBy maps each group to the proxy that answered its last report, or to none if that
@@ -155,7 +156,6 @@
 		c.groupsAt = now
 	}
 	c.groups = groups
-	c.count = 0
 }
 
 // setHolders records the homes of all groups. The caller holds the lock.
@@ -171,19 +171,16 @@
 // updateCount updates the number of holders that this proxy's parts are worked out for, and
 // reports whether it has changed. The caller holds the lock.
 func (c *usageCaps) updateCount(now time.Time) bool {
-	count := max(len(c.holders), 1)
-	if len(c.holders) == 0 || time.Since(c.node.startedAt) < holdersStartTime {
-		count = max(count, homesAtStart*len(c.groups))
+	if known := len(c.holders); known >= c.peak || now.Sub(c.peakAt) > maxHoldersTime {
+		c.peak, c.peakAt = known, now
 	}
-	switch {
-	case count == c.count:
-		c.countAt = now
-		return false
-	case count < c.count && now.Sub(c.countAt) < maxHoldersTime && time.Since(c.node.startedAt) > holdersStartTime+maxHoldersTime:
-		return false
+	count := max(c.peak, 1)
+	if c.peak == 0 || time.Since(c.node.startedAt) < holdersStartTime {
+		count = max(count, homesAtStart*len(c.groups))
 	}
-	c.count, c.countAt = count, now
-	return true
+	changed := count != c.count
+	c.count = count
+	return changed
 }
 
 // report sends the reports that are due.
@@ -228,8 +225,8 @@
 		c.limiter.Unanswered(pending)
 		return
 	}
-	for _, team := range c.limiter.Receive(pending, grants) {
-		klog.InfoS("cap share granted", "team", team, "group", pending.Group, "lender", lender)
+	if begun := c.limiter.Receive(pending, grants); len(begun) > 0 {
+		klog.InfoS("cap shares granted", "group", pending.Group, "lender", lender, "count", len(begun), "team", begun[0])
 	}
 }
 
--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -24,10 +24,10 @@
 	ran []time.Time
 }
 
-func withCaps(t *testing.T, run func(c *qt.C, i *capInstallation)) {
+func withCaps(t *testing.T, proxiesPerZone int, run func(c *qt.C, i *capInstallation)) {
 	t.Parallel()
 	c := qt.New(t)
-	i := &capInstallation{Installation: rosestandin.NewInstallation(rosestandin.InstallationConfig{ProxiesPerZone: 2})}
+	i := &capInstallation{Installation: rosestandin.NewInstallation(rosestandin.InstallationConfig{ProxiesPerZone: proxiesPerZone})}
 	defer i.Close()
 	i.PutTeams(2, map[string]any{"name": capTeam, "api_keys": []string{"key"}, "rate_per_s": capRate, "burst": capBurst})
 	time.Sleep(4 * time.Second)
@@ -44,7 +44,7 @@
 	n := 0
 	for end := time.Now().Add(length); time.Now().Before(end); n++ {
 		<-ticker.C
-		p := proxies[(n%7*n%5)%len(proxies)]
+		p := proxies[(n%7*n%11)%len(proxies)]
 		if !p.Running() {
 			continue
 		}
@@ -99,16 +99,27 @@
 
 // TestCapOfInstallation has a team ask for more than its cap.
 func TestCapOfInstallation(t *testing.T) {
-	withCaps(t, func(c *qt.C, i *capInstallation) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		admitted := i.ask(6*time.Second, 400, i.Proxies...)
 		c.Check(float64(admitted) >= 0.99*(6*capRate+capBurst), qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
 }
 
+// TestCapOfLargeFleet has a team ask at all proxies of a fleet in which not all are linked,
+// and most aren't homes.
+func TestCapOfLargeFleet(t *testing.T) {
+	withCaps(t, 14, func(c *qt.C, i *capInstallation) {
+		i.ask(2*time.Second, 60, i.Proxies...)
+		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Check(float64(admitted) >= 0.99*6*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.checkBound(c)
+	})
+}
+
 // TestCapLenderKilled has the lender die.
 func TestCapLenderKilled(t *testing.T) {
-	withCaps(t, func(c *qt.C, i *capInstallation) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		lender := i.lender()
 		c.Assert(lender, qt.IsNotNil)
 		others := i.others(lender)
@@ -123,7 +134,7 @@
 
 // TestCapLenderCutOff cuts the lender's proxy off together with the store.
 func TestCapLenderCutOff(t *testing.T) {
-	withCaps(t, func(c *qt.C, i *capInstallation) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		lender := i.lender()
 		c.Assert(lender, qt.IsNotNil)
 		i.ask(3*time.Second, 400, i.Proxies...)
@@ -139,7 +150,7 @@
 // TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it after its
 // shares have ended.
 func TestCapZoneCutOff(t *testing.T) {
-	withCaps(t, func(c *qt.C, i *capInstallation) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		zone := rosestandin.Zones[0]
 		var inside []*rosestandin.Proxy
 		for _, p := range i.Proxies {
@@ -160,7 +171,7 @@
 
 // TestCapFleetRestarted restarts all proxies at once.
 func TestCapFleetRestarted(t *testing.T) {
-	withCaps(t, func(c *qt.C, i *capInstallation) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		i.ask(2*time.Second, 400, i.Proxies...)
 		for _, p := range i.Proxies {
 			p.Kill()
--- a/pkg/rosecap/allowance.go
+++ b/pkg/rosecap/allowance.go
@@ -21,7 +21,7 @@
 	// maxDirect bounds the tokens that a holder without room for one asks for, directTime how
 	// long it keeps them for the operations that wait.
 	maxDirect  = 8
-	directTime = 100 * time.Millisecond
+	directTime = 150 * time.Millisecond
 	// minReturnedRate is the number of operations a second in a share, beyond twice the
 	// demand, for which a holder reports that it needs less, returnInterval how often.
 	minReturnedRate = 1
@@ -47,7 +47,7 @@
 	asked float64
 	// used is set if operations were asked for since the last report.
 	used bool
-	// waiting is the number of operations refused since the last report.
+	// waiting is the number of operations since the last report that wait for tokens.
 	waiting int
 	// prefetch is set if the first report is sent without an operation.
 	prefetch bool
@@ -115,17 +115,21 @@
 		a.tokens = max(a.tokens-1, 0)
 		return 0, true
 	}
-	a.waiting++
+	if a.expects(now) {
+		a.waiting++
+	}
 	return a.retryAfter(now), false
 }
 
-// expects reports whether the lender is likely to grant tokens as soon as it is asked.
-func (a *Allowance) expects() bool { return !a.short }
+// expects reports whether the lender may grant tokens as soon as it is asked.
+func (a *Allowance) expects(now time.Time) bool {
+	return !a.short || now.Sub(a.reportedAt) > 2*slowReportInterval
+}
 
 // retryAfter returns when a refused caller may come back. Callers are spread at the rate of
 // the tokens that this holder can expect.
 func (a *Allowance) retryAfter(now time.Time) time.Duration {
-	if a.expects() {
+	if a.expects(now) {
 		return minRetryAfter
 	}
 	latest := now.Add(maxRetryAfter)
--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +19,7 @@
 	zones  = 3
 )
 
-var policy = rosecap.Policy{Window: window, Excess: 0.1, Slack: 20}
+var usual = rosecap.Policy{Window: window, Excess: 0.1, Slack: 20}
 
 // clock is a simulated clock.
 type clock struct{ now time.Time }
@@ -51,6 +50,7 @@
 
 // fleet simulates holders and the lender of the teams of one group.
 type fleet struct {
+	policy  rosecap.Policy
 	clock   *clock
 	random  *rand.Rand
 	proxies []*proxy
@@ -65,22 +65,27 @@
 	asked, refused map[string]int
 	meters         map[string]*meter
 	waiting        []waiter
+	// retries is how often a refused caller comes back when it is told to.
+	retries int
 }
 
-// waiter is an operation that waits for tokens.
+// waiter is an operation that waits until then: for tokens, if granted isn't nil, or to come
+// back.
 type waiter struct {
 	proxy   *proxy
 	team    string
 	granted <-chan struct{}
 	until   time.Time
+	retries int
 }
 
-func newFleet(seed uint64, count int, teams ...roseteam.Team) *fleet {
+func newFleet(seed uint64, policy rosecap.Policy, teams ...roseteam.Team) *fleet {
 	f := &fleet{
-		clock: &clock{time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(seed, 1)),
+		policy: policy,
+		clock:  &clock{time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(seed, 1)),
 		ran: make(map[string][]time.Time), asked: make(map[string]int), refused: make(map[string]int),
 	}
-	for n := range count {
+	for n := range 24 {
 		f.proxies = append(f.proxies, &proxy{id: rosemary.ProxyID(fmt.Sprint("p", n))})
 	}
 	f.setTeams(teams...)
@@ -111,7 +116,7 @@
 func (f *fleet) restart(p *proxy) {
 	p.incarnation++
 	p.exchange = nil
-	p.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{Policy: policy, Clock: f.clock, Incarnation: p.incarnation})
+	p.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{Policy: f.policy, Clock: f.clock, Incarnation: p.incarnation})
 	p.limiter.SetTeams(f.limiterTeams())
 }
 
@@ -122,7 +127,7 @@
 }
 
 func (f *fleet) claim(p *proxy) {
-	f.holder, f.lender = p, rosecap.NewLender(policy, f.clock.now)
+	f.holder, f.lender = p, rosecap.NewLender(f.policy, f.clock.now)
 }
 
 func (f *fleet) works(p *proxy) bool {
@@ -196,42 +201,48 @@
 	if m := f.meters[team]; m != nil {
 		m.ask(f.clock.now)
 	}
-	_, ok, granted := p.limiter.TryAdmit(team)
-	if !ok && granted != nil {
-		f.waiting = append(f.waiting, waiter{p, team, granted, f.clock.now.Add(60 * time.Millisecond)})
+	f.try(waiter{proxy: p, team: team, retries: f.retries})
+}
+
+// try has an operation admitted, or wait for tokens or its retry.
+func (f *fleet) try(w waiter) {
+	retryAfter, ok, granted := w.proxy.limiter.TryAdmit(w.team)
+	switch {
+	case ok:
+		f.ran[w.team] = append(f.ran[w.team], f.clock.now)
+		return
+	case granted != nil && w.granted == nil:
+		w.granted, w.until = granted, f.clock.now.Add(60*time.Millisecond)
+	case w.retries > 0:
+		w.granted, w.until = nil, f.clock.now.Add(retryAfter)
+		w.retries--
+	default:
+		f.refused[w.team]++
 		return
 	}
-	f.count(team, ok)
+	f.waiting = append(f.waiting, w)
 }
 
-// wake has the operations that waited for the lender's answer admitted or refused.
+// wake has the operations whose wait is over try again.
 func (f *fleet) wake() {
-	f.waiting = slices.DeleteFunc(f.waiting, func(w waiter) bool {
+	waiting := f.waiting
+	f.waiting = nil
+	for _, w := range waiting {
 		select {
 		case <-w.granted:
+			w.until = f.clock.now
 		default:
-			if f.clock.now.Before(w.until) {
-				return false
-			}
 		}
-		if f.works(w.proxy) {
-			_, ok, _ := w.proxy.limiter.TryAdmit(w.team)
-			f.count(w.team, ok)
+		if f.clock.now.Before(w.until) {
+			f.waiting = append(f.waiting, w)
+		} else if f.works(w.proxy) {
+			f.try(w)
 		}
-		return true
-	})
-}
-
-func (f *fleet) count(team string, ok bool) {
-	if ok {
-		f.ran[team] = append(f.ran[team], f.clock.now)
-	} else {
-		f.refused[team]++
 	}
 }
 
 // worstExcess returns the greatest number of operations in a window beyond the bound.
-func worstExcess(ran []time.Time, usage roseteam.Cap) float64 {
+func worstExcess(ran []time.Time, usage roseteam.Cap, policy rosecap.Policy) float64 {
 	bound := (usage.Rate*window.Seconds()+usage.Burst)*(1+policy.Excess) + policy.Slack
 	worst, first := 0, 0
 	for n, at := range ran {
@@ -281,7 +292,7 @@
 	for seed := range seeds {
 		usage := roseteam.Cap{Rate: []float64{5, 40, 350}[seed%3]}
 		usage.Burst = usage.Rate
-		f := newFleet(uint64(seed), 24, team("hot", usage.Rate, usage.Burst))
+		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
 		end, shift, nextFault := f.clock.now.Add(length), 0, f.clock.now
 		demand := 0.0
 		for f.clock.now.Before(end) {
@@ -295,9 +306,8 @@
 			f.advance()
 			f.offer("hot", demand*usage.Rate, shift)
 		}
-		t.Logf("seed %d rate %v: %v", seed, usage.Rate, worstExcess(f.ran["hot"], usage))
-		c.Check(worstExcess(f.ran["hot"], usage) <= 0, qt.IsTrue,
-			qt.Commentf("seed %d: %v operations above the bound", seed, worstExcess(f.ran["hot"], usage)))
+		c.Check(worstExcess(f.ran["hot"], usage, usual) <= 0, qt.IsTrue,
+			qt.Commentf("seed %d: %v operations above the bound", seed, worstExcess(f.ran["hot"], usage, usual)))
 	}
 }
 
@@ -358,6 +368,49 @@
 	}
 }
 
+// TestLoweredCapHolds lowers a cap, which each proxy learns within 5 s: the lower cap holds
+// in every window after that.
+func TestLoweredCapHolds(t *testing.T) {
+	c := qt.New(t)
+	for seed := range 10 {
+		f := newFleet(uint64(seed), usual, team("hot", 100, 100))
+		f.run(10*time.Second, "hot", 500)
+		lower := team("hot", 20, 10)
+		f.teams, _ = roseteam.NewDirectory(2, []roseteam.Team{lower})
+		for _, n := range f.random.Perm(len(f.proxies)) {
+			f.run(200*time.Millisecond, "hot", 500)
+			f.proxies[n].limiter.SetTeams(f.limiterTeams())
+		}
+		f.ran["hot"] = nil
+		f.run(15*time.Second, "hot", 500)
+		c.Check(worstExcess(f.ran["hot"], *lower.Cap, usual) <= 0, qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestFewTokens has more holders than a team has tokens: none can keep one, and operations
+// wait for those that the lender grants. Callers retry twice.
+func TestFewTokens(t *testing.T) {
+	c := qt.New(t)
+	exact := rosecap.Policy{Window: window}
+	f := newFleet(1, exact, team("small", 10, 10))
+	f.retries = 2
+	f.run(10*time.Second, "small", 6)
+	f.resetCounts()
+	f.run(200*time.Second, "small", 6)
+	served, allowed := f.asked["small"]-f.refused["small"], f.meters["small"].allowed
+	c.Check(float64(served) >= 0.95*float64(allowed), qt.IsTrue, qt.Commentf("%d served of %d allowed", served, allowed))
+	f.run(20*time.Second, "small", 50)
+	c.Check(worstExcess(f.ran["small"], roseteam.Cap{Rate: 10, Burst: 10}, exact) <= 0, qt.IsTrue)
+}
+
+// run has a team ask for a time.
+func (f *fleet) run(length time.Duration, team string, rate float64) {
+	for end := f.clock.now.Add(length); f.clock.now.Before(end); {
+		f.advance()
+		f.offer(team, rate, 0)
+	}
+}
+
 // meter is a team's cap kept at one place, which shows what is allowed.
 type meter struct {
 	usage   roseteam.Cap
@@ -383,7 +436,7 @@
 	for _, r := range []float64{5, 12, 30, 80, 350} {
 		teams = append(teams, team(fmt.Sprint("calm", r), r, r))
 	}
-	f := newFleet(1, 24, teams...)
+	f := newFleet(1, usual, teams...)
 	run := func(length time.Duration, hot float64) {
 		for end := f.clock.now.Add(length); f.clock.now.Before(end); {
 			f.advance()
@@ -411,12 +464,12 @@
 	f.resetCounts()
 	run(6500*time.Millisecond, 4.7)
 	check()
-	c.Check(worstExcess(f.ran["hot"], *teams[0].Cap) <= 0, qt.IsTrue)
+	c.Check(worstExcess(f.ran["hot"], *teams[0].Cap, usual) <= 0, qt.IsTrue)
 }
 
 // BenchmarkAdmit measures a check; it is to cost less than 200 ns and no allocation.
 func BenchmarkAdmit(b *testing.B) {
-	f := newFleet(1, 1, team("t", 1e9, 1e9))
+	f := newFleet(1, usual, team("t", 1e9, 1e9))
 	for range 100 {
 		f.advance()
 	}
--- a/pkg/rosecap/ledger.go
+++ b/pkg/rosecap/ledger.go
@@ -1,6 +1,8 @@
 package rosecap
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -45,6 +47,22 @@
 	// at is when tokens was last worked out.
 	at      time.Time
 	holders map[rosemary.ProxyID]*holding
+	// direct are tokens granted to holders without room for them, which may not be used yet.
+	direct []directGrant
+}
+
+// directGrant is a number of tokens that are used or void from then on.
+type directGrant struct {
+	tokens float64
+	until  time.Time
+}
+
+// reporter is the sender of a report.
+type reporter struct {
+	proxy                 rosemary.ProxyID
+	incarnation, sequence uint64
+	// home is set if it may hold shares and keep tokens.
+	home bool
 }
 
 // holding is what the lender knows of one holder.
@@ -80,10 +98,16 @@
 // stock returns the number of tokens that the lender may keep: its own part, and what would
 // go with the shares that aren't lent.
 func (l *ledger) stock(now time.Time) float64 {
-	if now.Before(l.unknownUntil) {
-		return l.split.lenderBurst
+	stock := l.split.lenderBurst
+	if !now.Before(l.unknownUntil) {
+		stock += l.split.burstOf(maxLent - min(l.known(now), maxLent))
 	}
-	return l.split.lenderBurst + l.split.burstOf(maxLent-min(l.known(now), maxLent))
+	for _, g := range l.direct {
+		if now.Before(g.until) {
+			stock -= g.tokens
+		}
+	}
+	return max(stock, 0)
 }
 
 // known returns the sum of the shares of known holders.
@@ -127,18 +151,21 @@
 
 // answer records a holder's report and answers it. It returns false for a report that is
 // older than one already answered.
-func (l *ledger) answer(now time.Time, holder rosemary.ProxyID, incarnation, sequence uint64, report TeamReport) (TeamGrant, bool) {
+func (l *ledger) answer(now time.Time, from reporter, report TeamReport) (TeamGrant, bool) {
 	l.advance(now)
-	h := l.holders[holder]
-	if h != nil && (incarnation < h.incarnation || incarnation == h.incarnation && sequence <= h.sequence) {
+	h := l.holders[from.proxy]
+	if h != nil && (from.incarnation < h.incarnation || from.incarnation == h.incarnation && from.sequence <= h.sequence) {
 		return TeamGrant{}, false
 	}
 	if h == nil {
 		h = &holding{}
-		l.holders[holder] = h
+		l.holders[from.proxy] = h
+	}
+	if !from.home {
+		report.Demand = 0
 	}
 	// A new process of the holder has nothing of what the one before held.
-	h.incarnation, h.sequence, h.demand, h.seenAt = incarnation, sequence, report.Demand, now
+	h.incarnation, h.sequence, h.demand, h.seenAt = from.incarnation, from.sequence, report.Demand, now
 	h.share, h.until = min(report.Share, maxLent), now.Add(min(report.For, Lifetime))
 	share := l.shareFor(now, h)
 	want := report.Want
@@ -151,7 +178,17 @@
 		h.share, h.until = max(h.share, share), now.Add(Lifetime)
 	}
 	tokens := max(min(want, l.tokens), 0)
-	l.tokens = min(l.tokens-tokens, l.stock(now))
+	direct := !from.home || l.split.floorBurst < 1-rounding
+	if direct {
+		// A part of a token would be void before the rest came.
+		tokens = math.Floor(tokens + rounding)
+	}
+	l.tokens -= tokens
+	if direct {
+		l.direct = slices.DeleteFunc(l.direct, func(g directGrant) bool { return !now.Before(g.until) })
+		l.direct = append(l.direct, directGrant{tokens, now.Add(directTime + maxAnswerAge)})
+	}
+	l.tokens = min(l.tokens, l.stock(now))
 	return TeamGrant{Share: share, Tokens: tokens}, true
 }
 
--- a/pkg/rosecap/lender.go
+++ b/pkg/rosecap/lender.go
@@ -1,6 +1,7 @@
 package rosecap
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -60,12 +61,13 @@
 
 // Answer records a holder's report and answers it, with one grant for each of its teams.
 // It returns false for a report that is older than one already answered. The homes are those
-// that may hold shares: once all of them have just started without any, nothing is held
-// that the lender doesn't know.
+// that may hold shares, other holders get tokens only: once all homes have just started
+// without any, nothing is held that the lender doesn't know.
 func (l *Lender) Answer(now time.Time, holder rosemary.ProxyID, report Report, homes []rosemary.ProxyID) ([]TeamGrant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordBlank(now, holder, report.Blank, homes)
+	home := slices.Contains(homes, holder)
 	grants := make([]TeamGrant, 0, len(report.Teams))
 	for _, r := range report.Teams {
 		team, found := l.teams.ByName(r.Team)
@@ -78,7 +80,7 @@
 			record = newLedger(now, newSplit(*team.Cap, l.policy, l.count), l.unknownUntil)
 			l.ledgers[r.Team] = record
 		}
-		grant, ok := record.answer(now, holder, report.Incarnation, report.Sequence, r)
+		grant, ok := record.answer(now, reporter{holder, report.Incarnation, report.Sequence, home}, r)
 		if !ok {
 			return nil, false
 		}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -15,7 +15,7 @@
 	// maxTokenWait bounds the wait of an operation for tokens that the lender is asked for.
 	maxTokenWait = 60 * time.Millisecond
 	// maxAnswerAge is the age of a report from which on its answer isn't used.
-	maxAnswerAge = 500 * time.Millisecond
+	maxAnswerAge = 350 * time.Millisecond
 )
 
 // LimiterConfig configures a Limiter.
@@ -147,7 +147,7 @@
 	now := l.config.Clock.Now()
 	u.mu.Lock()
 	retryAfter, ok = u.allowance.admit(now)
-	if !ok && u.allowance.expects() {
+	if !ok && u.allowance.expects(now) {
 		granted = u.granted
 	}
 	signal := !u.signaled && u.allowance.due(now)
--- a/pkg/rosecap/split.go
+++ b/pkg/rosecap/split.go
@@ -87,9 +87,10 @@
 	return s
 }
 
-// lentRate returns the rate at which a share brings tokens.
+// lentRate returns the rate at which a share brings tokens. One without room for a token
+// brings none.
 func (s split) lentRate(share Share) float64 {
-	if rate := share.of(s.rate); rate >= minLentRate {
+	if rate := share.of(s.rate); rate >= minLentRate && s.capacity(share) >= 1 {
 		return rate
 	}
 	return 0
