rosecap: replay takeovers while the earlier lender's zone goes on

Cause: the random faults of TestCapHolds don't bring a takeover, full buckets and demand on both sides of a cut together.

Change: TestCapHoldsAfterTakeover does.

--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -294,13 +294,17 @@
 		usage.Burst = usage.Rate
 		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
 		end, shift, nextFault := f.clock.now.Add(length), 0, f.clock.now
-		demand := 0.0
+		demand := 5.0
 		for f.clock.now.Before(end) {
 			if !f.clock.now.Before(nextFault) {
 				f.fault()
-				shift = f.random.IntN(24)
-				nextFault = f.clock.now.Add(time.Duration(f.random.IntN(4000*(1+seed%4*3))) * time.Millisecond)
-				demand = []float64{0, 0.6, 5}[f.random.IntN(3)]
+				nextFault = f.clock.now.Add(f.upTo(4 * time.Second))
+				if seed%2 == 0 {
+					shift, demand = f.random.IntN(24), []float64{0, 0.6, 5}[f.random.IntN(3)]
+				} else {
+					// The team is over its cap all the time, with few faults at once.
+					nextFault = nextFault.Add(f.upTo(20 * time.Second))
+				}
 			}
 			f.moveLock()
 			f.advance()
@@ -311,9 +315,13 @@
 	}
 }
 
+func (f *fleet) upTo(length time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(length)))
+}
+
 // fault brings one fault about.
 func (f *fleet) fault() {
-	until := f.clock.now.Add(time.Duration(f.random.IntN(14000)) * time.Millisecond)
+	until := f.clock.now.Add(f.upTo(16 * time.Second))
 	p := f.proxies[f.random.IntN(len(f.proxies))]
 	switch f.random.IntN(6) {
 	case 0:
@@ -368,6 +376,27 @@
 	}
 }
 
+// TestCapHoldsAfterTakeover cuts off the lender's zone. Once another proxy lends, the team
+// asks for more than its cap on both sides.
+func TestCapHoldsAfterTakeover(t *testing.T) {
+	c := qt.New(t)
+	usage := roseteam.Cap{Rate: 350, Burst: 350}
+	for seed := range 10 {
+		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
+		f.run(20*time.Second, "hot", 0.6*usage.Rate)
+		for n, p := range f.proxies {
+			if n%zones == 0 {
+				p.cutUntil = f.clock.now.Add(16 * time.Second)
+			}
+		}
+		f.run(8*time.Second, "hot", 0.6*usage.Rate)
+		f.claim(f.proxies[1])
+		f.run(500*time.Millisecond, "hot", 0.6*usage.Rate)
+		f.run(12*time.Second, "hot", 5*usage.Rate)
+		c.Check(worstExcess(f.ran["hot"], usage, usual) <= 0, qt.IsTrue, qt.Commentf("seed %d: %v operations above the bound", seed, worstExcess(f.ran["hot"], usage, usual)))
+	}
+}
+
 // TestLoweredCapHolds lowers a cap, which each proxy learns within 5 s: the lower cap holds
 // in every window after that.
 func TestLoweredCapHolds(t *testing.T) {
