--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarywell/rosemarywell/internal/rosenode"
 	"github.com/rosemarywell/rosemarywell/internal/rosesettings"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -95,6 +96,9 @@
 		FirstStart:        settings.FirstStart,
 		LeavingTime:       time.Duration(settings.Limits.LeavingTime),
 		ConfigurationTime: time.Duration(settings.Limits.ConfigurationTime),
+		CapPolicy: rosecap.Policy{
+			Window: time.Duration(settings.Limits.CapWindow), Excess: settings.Limits.CapExcess, Slack: settings.Limits.CapSlack,
+		},
 		Store:             store,
 		Targets:           roseplatform.TargetRegistry{Store: store},
 		Configurations:    roseplatform.ConfigurationStore{Store: store},
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
+	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -39,11 +40,13 @@
 	// ConfigurationTime is how old the news that the configuration in force is the newest
 	// may be; DefaultConfigurationTime if zero.
 	ConfigurationTime time.Duration
-	Store             rosemary.MetadataStore
-	Targets           rosemary.TargetSource
-	Configurations    rosemary.ConfigurationSource
-	Promoter          rosemary.Promoter
-	TargetDialer      rosemary.TargetDialer
+	// CapPolicy is how far teams may exceed their usage caps.
+	CapPolicy      rosecap.Policy
+	Store          rosemary.MetadataStore
+	Targets        rosemary.TargetSource
+	Configurations rosemary.ConfigurationSource
+	Promoter       rosemary.Promoter
+	TargetDialer   rosemary.TargetDialer
 	// PeerDialer connects to other proxies.
 	PeerDialer rosemary.Dialer
 	// Clock has to advance while the VM is suspended.
@@ -75,6 +78,7 @@
 	relayServer           *roserelay.Server
 	relayClient           *roserelay.Client
 	metrics               *Metrics
+	caps                  *usageCaps
 	startedAt             time.Time
 	fetchingConfiguration atomic.Bool
 	// awaitingNewer is set while this proxy fetches a version that another one has named.
@@ -158,8 +162,9 @@
 	}
 	n.metrics.trackTargetsAge(n.targetsAge)
 	n.metrics.trackConfigurationAge(n.configurationAge, n.newsOutdated.Load)
+	n.caps = newUsageCaps(n)
 	n.mesh = n.newMesh()
-	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
+	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget, Usage: n.caps.limiter})
 	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, CheckTeam: n.checkTeam})
 	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, OnOutdated: n.fetchFromHome})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
@@ -195,7 +200,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.watchConfigurationAge, n.pollStatuses, n.pollGuarantees, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.watchConfigurationAge, n.pollStatuses, n.pollGuarantees, n.followUsageCaps, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
