rosenode: tests of caps in simulated time

Cause: under -race beside other work the fleet of 42 proxies wasn't ready within the test's 4 s, and TestCapOfLargeFleet failed with 1 admitted.

Change: the tests run under testing/synctest, as those of platform/rosestandin do.

--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -25,13 +26,14 @@
 }
 
 func withCaps(t *testing.T, proxiesPerZone int, run func(c *qt.C, i *capInstallation)) {
-	t.Parallel()
-	c := qt.New(t)
-	i := &capInstallation{Installation: rosestandin.NewInstallation(rosestandin.InstallationConfig{ProxiesPerZone: proxiesPerZone})}
-	defer i.Close()
-	i.PutTeams(2, map[string]any{"name": capTeam, "api_keys": []string{"key"}, "rate_per_s": capRate, "burst": capBurst})
-	time.Sleep(4 * time.Second)
-	run(c, i)
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		i := &capInstallation{Installation: rosestandin.NewInstallation(rosestandin.InstallationConfig{ProxiesPerZone: proxiesPerZone})}
+		defer i.Close()
+		i.PutTeams(2, map[string]any{"name": capTeam, "api_keys": []string{"key"}, "rate_per_s": capRate, "burst": capBurst})
+		time.Sleep(5 * time.Second)
+		run(qt.New(t), i)
+	})
 }
 
 // ask has the running proxies, unevenly, ask for rate operations a second for a time, and
