rosecaller: begin a transaction elsewhere after one wait for a replica

Cause: a replica that hangs on a begin, or on the first read after it, held a transaction until its deadline, and it was then refused. Change: on a replica both have the time of a read's first try, after which the transaction begins elsewhere, as its client has seen nothing of it. On a primary, which leaves no other target, nothing changes.

--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -200,6 +200,16 @@
 	return execution.deadline
 }
 
+// beginDeadline returns the deadline of the begin of a transaction, and of its first
+// statement, on the target chosen last. On a replica, which leaves other targets, it is
+// that of a try.
+func (j *job) beginDeadline(execution *execution) time.Time {
+	if j.onPrimary {
+		return execution.deadline
+	}
+	return j.tryDeadline(execution)
+}
+
 // classify decides whether an answer is final, is retried, or leaves the
 // outcome of a write unknown.
 func (j *job) classify(execution *execution, lease *rosefleet.ConnLease, answer rosemary.Answer) tryResult {
--- a/pkg/rosecaller/transaction.go
+++ b/pkg/rosecaller/transaction.go
@@ -29,7 +29,7 @@
 			return rosemary.Answer{}, statementNotRun()
 		}
 		target := j.lease.Target()
-		answer, refusal := j.runNextStatement(execution.deadline, statement)
+		answer, refusal := j.runNextStatement(j.beginDeadline(execution), statement)
 		if !j.canRestart(statement, answer, refusal) {
 			return answer, refusal
 		}
@@ -87,7 +87,7 @@
 		}
 	}
 	setup, state := j.setupStatements(lease, execution.statement)
-	answers, _, err := lease.Exchange(execution.deadline, append(setup, begin)...)
+	answers, _, err := lease.Exchange(j.beginDeadline(execution), append(setup, begin)...)
 	if err != nil {
 		lease.Release(false)
 		execution.avoid = lease.Target()
