roseexplain: tell late requests that another home had refused

Cause: time spent at a home that refused a request looked like time between proxies. Change: the summary remembers up to 10,000 requests that were passed on until their result.

--- a/internal/roseexplain/cause.go
+++ b/internal/roseexplain/cause.go
@@ -21,6 +21,7 @@
 	CauseAnswer     Cause = "lost or missing answer"
 	CauseLink       Cause = "on a cut link"
 	CauseRelay      Cause = "on the way between proxies"
+	CausePassedOn   Cause = "refused by another home first"
 	CauseOverCap    Cause = "over cap"
 	CauseDenied     Cause = "denied"
 	CauseNotReady   Cause = "not ready"
@@ -74,8 +75,9 @@
 	return inUse < limit && m[3] == "0"
 }
 
-// lateCause returns the cause of a line of a late answer: what took the longest.
-func lateCause(fields map[string]string) Cause {
+// lateCause returns the cause of a line of a late answer: what took the longest. passedOn is
+// set if another home had refused the request before.
+func lateCause(fields map[string]string, passedOn bool) Cause {
 	spent := []struct {
 		cause Cause
 		took  time.Duration
@@ -92,10 +94,13 @@
 			longest = s
 		}
 	}
-	if rest > longest.took {
-		return CauseRelay
+	switch {
+	case rest <= longest.took:
+		return longest.cause
+	case passedOn:
+		return CausePassedOn
 	}
-	return longest.cause
+	return CauseRelay
 }
 
 func microseconds(fields map[string]string, name string) time.Duration {
--- a/internal/roseexplain/summary.go
+++ b/internal/roseexplain/summary.go
@@ -18,6 +18,10 @@
 	// maxRows bounds the rows of one table; further keys count as otherKey.
 	maxRows  = 100_000
 	otherKey = "(others)"
+	// maxPassedOn bounds the requests known to have been passed on, without a result yet.
+	maxPassedOn = 10_000
+	// passedOnEvent is logged when a home has refused a request, which goes to another one.
+	passedOnEvent = "request passed on elsewhere"
 	// maxExamples bounds the request IDs kept for each cause.
 	maxExamples = 3
 )
@@ -33,6 +37,8 @@
 	teams   map[string]*tally
 	// processZones holds the zones that the proxies told at their starts.
 	processZones map[string]string
+	// passedOn holds the requests that homes have refused before others were asked.
+	passedOn map[string]bool
 	// marked is set once a line has told that its request was late, which older logs don't.
 	marked bool
 }
@@ -48,12 +54,13 @@
 func NewSummary() *Summary {
 	return &Summary{
 		causes: make(map[Cause]*tally), seconds: make(map[string]*tally), zones: make(map[string]*tally),
-		classes: make(map[string]*tally), teams: make(map[string]*tally), processZones: make(map[string]string),
+		classes: make(map[string]*tally), teams: make(map[string]*tally),
+		processZones: make(map[string]string), passedOn: make(map[string]bool),
 	}
 }
 
 // relevantEvents begin the texts of the lines that a summary needs.
-var relevantEvents = [][]byte{[]byte(`] "request served"`), []byte(`] "request refused"`), []byte(`] "` + startEvent + `"`)}
+var relevantEvents = [][]byte{[]byte(`] "request served"`), []byte(`] "request refused"`), []byte(`] "` + startEvent + `"`), []byte(`] "` + passedOnEvent + `"`)}
 
 // Add reads a log. Process is the proxy that wrote the lines that don't name one.
 func (s *Summary) Add(process string, input io.Reader) error {
@@ -73,7 +80,14 @@
 }
 
 func (s *Summary) add(line Line) {
+	id := line.Fields["request"]
+	passedOn := s.passedOn[id]
+	delete(s.passedOn, id)
 	switch {
+	case line.Event == passedOnEvent:
+		if len(s.passedOn) < maxPassedOn {
+			s.passedOn[strings.Clone(id)] = true
+		}
 	case line.Event == startEvent:
 		if _, known := s.processZones[line.Process]; known || len(s.processZones) < maxRows {
 			s.processZones[line.Process] = line.Fields["zone"]
@@ -82,7 +96,7 @@
 		s.count(line, refusalCause(line.Fields), true)
 	case line.Fields["late"] == "true":
 		s.marked = true
-		s.count(line, lateCause(line.Fields), false)
+		s.count(line, lateCause(line.Fields, passedOn), false)
 	default:
 		s.total.served++
 		row(s.seconds, second(line)).served++
