rosefleet: open as many connections at once as the target has slots

Cause: with half of the slots, teams that need a new connection wait for each other's openings while places go to a team that has many connections.

Change: the bound is the target's slots.

Beyond a home's part of the slots work waits at the target in the order of arrival: MaxInUse should be little above that part.

--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -381,8 +381,7 @@
 	if limits.MaxInUse > 0 {
 		p.maxInUse = min(limits.MaxInUse, p.limit)
 	}
-	// Statements keep the other half of the slots.
-	p.maxOpening = max(slots/2, 1)
+	p.maxOpening = max(slots, 1)
 	if !p.multiTeam || p.closed {
 		return
 	}
