rosenode: one limit of connections over all homes of a target

Cause: each proxy worked its limit out from its present list of members, which proxies see up to seconds apart. While members are added, killed or restarted old and new homes together held more than the target's slots and queue, and proxies that reached no home each served the group themselves. Change: where not every proxy is a home, rosedecision.Roster tells which members count (one that is gone for less than 5 s does, one that arrives does after a delay of its own), and rosedecision.Handover lets a home use the least part of the last 8 s; until then it has a reserve of a few connections. A proxy that reaches no home relays to a standby. With teams the limit of open connections and that of connections in use differ. A refusal of a home that is shutting down doesn't use the retry budget, and it is tried last. Fleets in which every proxy is a home are served as before.

--- a/internal/rosenode/bench_test.go
+++ b/internal/rosenode/bench_test.go
@@ -36,7 +36,7 @@
 			// A proxy that isn't registered is no home.
 			n := New(Config{Self: rosemary.Member{Proxy: "relay", Zone: "zone-0"}})
 			n.configuration.Store(configuration)
-			n.directory.Store(newDirectory(n.config.Self, members, configuration, slots))
+			n.directory.Store(newDirectory(n.config.Self, members, members, configuration, slots))
 			n.mesh.AddMembers(members)
 			for b.Loop() {
 				n.RelayHomes("group-7")
@@ -51,7 +51,7 @@
 		b.Run(fmt.Sprint("members=", size), func(b *testing.B) {
 			configuration, slots, members := benchFleet(size)
 			for b.Loop() {
-				newDirectory(members[0], members, configuration, slots)
+				newDirectory(members[0], members, members, configuration, slots)
 			}
 		})
 	}
--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -127,7 +127,9 @@
 	if n.context == nil || n.context.Err() != nil {
 		return
 	}
-	directory := n.updateDirectory(members)
+	now := n.config.Clock.Now()
+	settled := n.settledMembers(members, now)
+	directory := n.updateDirectory(members, settled)
 	byGroup := make(map[string][]rosemary.TargetRegistration, len(configuration.Groups))
 	for _, r := range n.registrations {
 		byGroup[r.Group] = append(byGroup[r.Group], r)
@@ -139,14 +141,16 @@
 		}
 		registrations := byGroup[name]
 		entry := directory.groups[name]
-		limits := entry.limits
+		g.handover = g.handover.WithPart(entry.part, now)
+		limits := entry.connLimits(g.handover.Usable(now))
 		if time.Since(n.startedAt) < startupTime {
 			limits = limitToSlots(limits, directory.slots[name])
 		}
 		wasHome := g.home
 		g.home = entry.home
 		if g.home != wasHome {
-			klog.InfoS("home changed", "group", name, "home", g.home, "homes", len(entry.homes), "members", len(members),
+			klog.InfoS("home changed", "group", name, "home", g.home, "settled", isAmong(n.config.Self.Proxy, entry.settled),
+				"connections", limits.Max, "homes", len(entry.homes), "members", len(members),
 				"targetsAgeMs", n.targetsAgeLocked().Milliseconds())
 		}
 		if g.home && !wasHome && !fromStore {
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -1,9 +1,11 @@
 package rosenode
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
@@ -19,6 +21,11 @@
 	// connsPerSlot bounds the connections to a target, so that requests beyond
 	// its slots and its queue, which it would refuse, wait in the proxy.
 	connsPerSlot = 7
+	// targetQueue is the number of requests that a target queues beside those in its slots.
+	targetQueue = 32
+	// reservedShare is the part of the open connections that is reserved for homes that were
+	// just given theirs, if the connections are those of teams.
+	reservedShare = 4
 )
 
 // availableConns returns the number of connections that all proxies together
@@ -63,6 +70,81 @@
 	return rosefleet.ConnLimits{Share: share, Max: share}
 }
 
+// allLimits returns this proxy's limits if every proxy is a home.
+func allLimits(settings rosemary.GroupSettings, slots int, teams bool, self rosemary.Member, homes []rosemary.Member) rosefleet.ConnLimits {
+	limits := connLimits(availableConns(settings, slots), self, homes)
+	if !teams {
+		return limits
+	}
+	inUse := limits.Max
+	limits = connLimits(max(settings.MaxConnections-controlConnections, 1), self, homes)
+	limits.MaxInUse = inUse
+	return limits
+}
+
+// homeParts returns this proxy's part of each target's connections as one of the settled
+// homes, none if it isn't one, and the reserve of any other proxy that serves the group. The
+// parts of all settled homes and a reserve for each stay within the target's connections, and
+// those in use within its slots and its queue.
+func homeParts(settings rosemary.GroupSettings, slots int, teams bool, self rosemary.Member, settled []rosemary.Member) (part, reserve rosedecision.Part) {
+	count := max(len(settled), 1)
+	room := settings.MaxConnections - controlConnections
+	inUseRoom := room
+	if slots > 0 {
+		inUseRoom = min(room, slots+targetQueue)
+	}
+	reserve.InUse = max((slots+count-1)/count, 1)
+	part.InUse = divide(min(availableConns(settings, slots), inUseRoom-count*reserve.InUse), self, settled)
+	reserve.Open, part.Open = reserve.InUse, part.InUse
+	if teams {
+		reserve.Open = max(reserve.InUse, room/reservedShare/count)
+		part.Open = max(divide(room-count*reserve.Open, self, settled), part.InUse)
+	}
+	return part, reserve
+}
+
+// divide returns this proxy's part of a number of connections that is divided evenly among
+// the availability zones, and then among the homes of a zone.
+func divide(available int, self rosemary.Member, homes []rosemary.Member) int {
+	byZone := make(map[rosemary.Zone][]rosemary.ProxyID)
+	for _, m := range homes {
+		byZone[m.Zone] = append(byZone[m.Zone], m.Proxy)
+	}
+	zones := slices.Sorted(maps.Keys(byZone))
+	inZone := slices.Sorted(slices.Values(byZone[self.Zone]))
+	rank := slices.Index(inZone, self.Proxy)
+	if rank < 0 {
+		return 0
+	}
+	return evenPart(evenPart(max(available, 0), len(zones), slices.Index(zones, self.Zone)), len(inZone), rank)
+}
+
+// evenPart returns the part that comes index-th of a total divided into count parts.
+func evenPart(total, count, index int) int {
+	part := total / count
+	if index < total%count {
+		part++
+	}
+	return part
+}
+
+// partOf and limitsOf convert between limits and parts.
+func partOf(limits rosefleet.ConnLimits) rosedecision.Part {
+	part := rosedecision.Part{Open: limits.Max, InUse: limits.MaxInUse}
+	if part.InUse == 0 {
+		part.InUse = part.Open
+	}
+	return part
+}
+
+func limitsOf(part rosedecision.Part, teams bool) rosefleet.ConnLimits {
+	limits := rosefleet.ConnLimits{Share: part.Open, Max: part.Open}
+	if teams {
+		limits.MaxInUse = part.InUse
+	}
+	return limits
+}
+
 // startupTime is how long after its start a proxy opens no more connections to a
 // target than the target has slots. Other proxies that it doesn't know of yet may
 // be starting too, and targets keep the connections of VMs that lost power for
@@ -73,13 +155,17 @@
 // minHomeConns.
 func limitToSlots(limits rosefleet.ConnLimits, slots int) rosefleet.ConnLimits {
 	bound := max(slots, minHomeConns)
-	return rosefleet.ConnLimits{Share: min(limits.Share, bound), Max: min(limits.Max, bound)}
+	return rosefleet.ConnLimits{Share: min(limits.Share, bound), Max: min(limits.Max, bound), MaxInUse: min(limits.MaxInUse, bound)}
 }
 
 // isHome reports whether a proxy is among homes. Before the store has been read
 // no proxy is known to be registered, and every proxy counts as home.
 func isHome(self rosemary.ProxyID, homes []rosemary.Member) bool {
-	return len(homes) == 0 || slices.ContainsFunc(homes, func(m rosemary.Member) bool { return m.Proxy == self })
+	return len(homes) == 0 || isAmong(self, homes)
+}
+
+func isAmong(id rosemary.ProxyID, members []rosemary.Member) bool {
+	return slices.ContainsFunc(members, func(m rosemary.Member) bool { return m.Proxy == id })
 }
 
 // homesAmong returns those members that are home proxies of a group: all before there
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
@@ -92,8 +93,11 @@
 	directory     atomic.Pointer[directory]
 	draining      atomic.Bool
 
-	mu            sync.Mutex
-	groups        map[string]*group
+	mu     sync.Mutex
+	groups map[string]*group
+	// roster is which members count for homes, and rosterAt when it was last brought up to date.
+	roster        rosedecision.Roster
+	rosterAt      time.Time
 	registrations []rosemary.TargetRegistration
 	targetsLoaded bool
 	// targetsReadAt is when the read of registrations was sent.
@@ -116,6 +120,8 @@
 	// lock.
 	home           bool
 	temporaryUntil time.Time
+	// handover is what this proxy may use of the targets' connections, guarded likewise.
+	handover rosedecision.Handover
 }
 
 // servedTemporarily reports whether this proxy may serve the group without being
@@ -144,8 +150,11 @@
 	n.metrics.trackTargetsAge(n.targetsAge)
 	n.mesh = n.newMesh()
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget})
-	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}})
-	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer})
+	if config.Clock != nil {
+		n.roster = rosedecision.NewRoster(config.Self, config.FirstStart, config.Clock.Now())
+	}
+	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, OnSettled: n.observeSettled})
+	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, Settled: n.longSettled})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
 		Store:          config.Store,
 		Clock:          config.Clock,
--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -101,6 +101,9 @@
 		if n.zonePartitioned.Swap(partitioned) == partitioned {
 			continue
 		}
+		if !partitioned {
+			n.arriveAgain("the zone was cut off")
+		}
 		klog.InfoS("cut off changed", "cutOff", partitioned, "zone", n.config.Self.Zone, "targets", evidence.targets, "answering", evidence.answering,
 			"otherZonesLost", evidence.otherZonesLost, "agreeing", evidence.agreeing)
 		n.config.OnZonePartitioned(partitioned)
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -109,6 +109,9 @@
 			n.mesh.AddMembers(members)
 			// Homes and connection limits depend on the members.
 			n.updateGroups(false)
+		} else if d := n.directory.Load(); d != nil && d.few() {
+			// They also depend on the time since a change.
+			n.updateGroups(false)
 		}
 		isolated := len(members) > 1 && !n.locks.Registered() && len(n.mesh.LinkedPeers()) == 0
 		if n.isolated.Swap(isolated) != isolated {
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	repeatable := refusal.Outcome == rosemary.OutcomeNotRun || !task.Statement.Writes && task.Statement.Kind != rosemary.StatementCommit
-	if !repeatable || !p.node.retryBudget.TryWithdraw() {
+	if !repeatable || !leaving(refusal) && !p.node.retryBudget.TryWithdraw() {
 		return false
 	}
 	klog.InfoS("request passed on elsewhere", "request", task.Statement.ID, "group", task.Route.Group, "home", home.Proxy,
@@ -89,6 +89,12 @@
 	return true
 }
 
+// leaving reports whether a home refused a task because it is shutting down. It is one of a
+// few at a time and its refusal cost its targets nothing, so the retry budget isn't for it.
+func leaving(refusal *rosemary.Refusal) bool {
+	return refusal.Kind == rosemary.KindDraining && refusal.Outcome == rosemary.OutcomeNotRun
+}
+
 // servingExecutor wraps rosecaller.LocalExecutor, which runs tasks on this proxy's
 // own connections. If the proxy isn't a home of the task's group, or doesn't know
 // yet that it is, it first starts to serve the group temporarily.
@@ -146,7 +152,7 @@
 	if !known || entry.home {
 		return nil
 	}
-	live := n.mesh.FilterLive(entry.homes)
+	live := n.mesh.FilterLive(entry.relay)
 	shuffle(live)
 	homes := make([]rosedecision.Home, 0, len(live))
 	for _, m := range live {
@@ -155,14 +161,28 @@
 			// It can't be reached.
 			continue
 		}
-		homes = append(homes, rosedecision.Home{Member: m, SameZone: sameZone, Record: n.relayClient.Record(m)})
+		homes = append(homes, rosedecision.Home{
+			Member: m, SameZone: sameZone, Record: n.relayClient.Record(m), Reserved: entry.few && !isAmong(m.Proxy, entry.settled),
+		})
 	}
 	homes = rosedecision.OrderHomes(homes, time.Now())
-	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts))
+	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts), 2*maxRelayAttempts)
 	for i := range ordered {
 		ordered[i] = homes[i].Member
 	}
-	return ordered
+	return append(ordered, n.liveStandbys(entry)...)
+}
+
+// liveStandbys returns live standbys of a group in random order, none if this proxy is one: a
+// proxy that reaches no home relays to them, so that few proxies serve the group without
+// being its homes.
+func (n *Node) liveStandbys(entry groupHomes) []rosemary.Member {
+	if isAmong(n.config.Self.Proxy, entry.standbys) {
+		return nil
+	}
+	live := n.mesh.FilterLive(entry.standbys)
+	shuffle(live)
+	return live[:min(len(live), maxRelayAttempts)]
 }
 
 func shuffle(members []rosemary.Member) {
--- a/pkg/rosedecision/home.go
+++ b/pkg/rosedecision/home.go
@@ -23,6 +23,10 @@
 	// slowHomeFactor is how much more than another one a home of the same zone may cost
 	// before that one is preferred, as answer times vary with the statements.
 	slowHomeFactor = 2
+	// reservedHomeFactor and reservedHomePenalty keep requests off a home that has only a
+	// reserve, while another one of its zone has room.
+	reservedHomeFactor  = 2
+	reservedHomePenalty = 10 * time.Millisecond
 )
 
 // Home is what a proxy knows of a home that it could relay a request to. It answers a fleet
@@ -32,6 +36,8 @@
 	Member rosemary.Member
 	// SameZone is set if the home is in the relaying proxy's availability zone.
 	SameZone bool
+	// Reserved is set if the home has only a reserve of connections yet.
+	Reserved bool
 	Record   HomeRecord
 }
 
@@ -80,6 +86,9 @@
 		answerTime = unknownTime
 	}
 	cost := answerTime + time.Duration(h.Record.InFlight)*inFlightCost
+	if h.Reserved {
+		cost = reservedHomeFactor*cost + reservedHomePenalty
+	}
 	if h.SameZone {
 		return cost
 	}
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -123,6 +123,8 @@
 	// Max is the maximum number of open connections, at least Share. A control
 	// call may open one more.
 	Max int
+	// MaxInUse is the number of connections in use at once; zero means Max.
+	MaxInUse int
 }
 
 // Update replaces the targets of the group and the connection limits of each.
--- a/pkg/roserelay/client.go
+++ b/pkg/roserelay/client.go
@@ -21,6 +21,8 @@
 const (
 	// Path is the HTTP path at which a proxy serves its Server.
 	Path = "/tasks"
+	// settledHeader tells a home that the proxy has long counted it as a member.
+	settledHeader = "Rosemarywell-Settled"
 	// dialTimeout bounds the time to connect to a home proxy.
 	dialTimeout = 400 * time.Millisecond
 	// redialDelay is the wait before dialing an unreachable home proxy again.
@@ -46,6 +48,9 @@
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	Dialer rosemary.Dialer
+	// Settled reports whether this proxy has long counted a home as a member, which the
+	// home is told; nil means never.
+	Settled func(home rosemary.Member) bool
 }
 
 // Client runs tasks on other proxies. Its methods may be called concurrently.
@@ -139,6 +144,8 @@
 	c.update(l.address, func(r rosedecision.HomeRecord) rosedecision.HomeRecord {
 		r = r.WithInFlight(r.InFlight - 1)
 		switch {
+		case delivery == Answered && result.Refusal != nil && result.Refusal.Kind == rosemary.KindDraining:
+			return r.WithLoss(time.Now())
 		case delivery == Answered:
 			return r.WithAnswer(time.Since(started))
 		case ctx.Err() == nil:
@@ -260,7 +267,11 @@
 
 func (c *Client) open(l *link, home rosemary.Member) {
 	ctx, cancel := context.WithTimeout(l.context, dialTimeout)
-	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, &websocket.DialOptions{HTTPClient: c.http})
+	options := &websocket.DialOptions{HTTPClient: c.http}
+	if c.config.Settled != nil && c.config.Settled(home) {
+		options.HTTPHeader = http.Header{settledHeader: {"1"}}
+	}
+	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, options)
 	cancel()
 	if err != nil {
 		klog.InfoS("home not reached", "home", home.Proxy, "err", roselog.ErrorMessage(err))
--- a/pkg/roserelay/server.go
+++ b/pkg/roserelay/server.go
@@ -20,6 +20,9 @@
 type ServerConfig struct {
 	// Executor runs the tasks of other proxies.
 	Executor rosecaller.Executor
+	// OnSettled is called when another proxy tells that it has long counted this one as a
+	// member; it may be nil.
+	OnSettled func()
 }
 
 // Server runs tasks for other proxies. Its methods may be called concurrently.
@@ -80,6 +83,9 @@
 		return
 	}
 	conn.SetReadLimit(maxMessageBytes)
+	if r.Header.Get(settledHeader) != "" && s.config.OnSettled != nil {
+		s.config.OnSettled()
+	}
 	l := &serverLink{server: s, conn: conn, sessionIDBase: s.lastLinkNumber.Add(1) << 32, transactions: make(map[uint64]*transaction), cancelledBegins: make(map[uint64]bool)}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
