--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -159,8 +159,10 @@
 // setHolders records the homes of all groups. The caller holds the lock.
 func (c *usageCaps) setHolders(d *directory) {
 	c.holders = nil
-	for _, m := range d.allHomes() {
-		c.holders = append(c.holders, m.Proxy)
+	for _, entry := range d.groups {
+		for _, m := range entry.relay {
+			c.holders = append(c.holders, m.Proxy)
+		}
 	}
 	slices.Sort(c.holders)
 	c.holders = slices.Compact(c.holders)
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarywell/rosemarywell/pkg/rosecaller"
 	"github.com/rosemarywell/rosemarywell/pkg/rosecap"
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
@@ -108,8 +109,11 @@
 	directory     atomic.Pointer[directory]
 	draining      atomic.Bool
 
-	mu            sync.Mutex
-	groups        map[string]*group
+	mu     sync.Mutex
+	groups map[string]*group
+	// roster is which members count for homes, and rosterAt when it was last brought up to date.
+	roster        rosedecision.Roster
+	rosterAt      time.Time
 	registrations []rosemary.TargetRegistration
 	targetsLoaded bool
 	// targetsReadAt is when the read of registrations was sent.
@@ -132,6 +136,8 @@
 	// lock.
 	home           bool
 	temporaryUntil time.Time
+	// handover is what this proxy may use of the targets' connections, guarded likewise.
+	handover rosedecision.Handover
 }
 
 // servedTemporarily reports whether this proxy may serve the group without being
@@ -165,8 +171,11 @@
 	n.caps = newUsageCaps(n)
 	n.mesh = n.newMesh()
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget, Usage: n.caps.limiter})
-	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, CheckTeam: n.checkTeam})
-	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, OnOutdated: n.fetchFromHome})
+	if config.Clock != nil {
+		n.roster = rosedecision.NewRoster(config.Self, config.FirstStart, config.Clock.Now())
+	}
+	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, CheckTeam: n.checkTeam, OnSettled: n.observeSettled})
+	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, OnOutdated: n.fetchFromHome, Settled: n.longSettled})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
 		Store:          config.Store,
 		Clock:          config.Clock,
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	repeatable := refusal.Outcome == rosemary.OutcomeNotRun || !task.Statement.Writes && task.Statement.Kind != rosemary.StatementCommit
-	if !repeatable || !p.node.retryBudget.TryWithdraw() {
+	if !repeatable || !leaving(refusal) && !p.node.retryBudget.TryWithdraw() {
 		return false
 	}
 	klog.InfoS("request passed on elsewhere", "request", task.Statement.ID, "group", task.Route.Group, "home", home.Proxy,
@@ -89,6 +89,12 @@
 	return true
 }
 
+// leaving reports whether a home refused a task because it is shutting down. It is one of a
+// few at a time and its refusal cost its targets nothing, so the retry budget isn't for it.
+func leaving(refusal *rosemary.Refusal) bool {
+	return refusal.Kind == rosemary.KindDraining && refusal.Outcome == rosemary.OutcomeNotRun
+}
+
 // servingExecutor wraps rosecaller.LocalExecutor, which runs tasks on this proxy's
 // own connections. If the proxy isn't a home of the task's group, or doesn't know
 // yet that it is, it first starts to serve the group temporarily.
@@ -129,14 +135,14 @@
 	n.requestTargetsRead()
 }
 
-// relayCandidates returns the home proxies to try to relay a task to, and adds to
-// the retry budget if there are any.
+// relayCandidates returns the home proxies to try to relay a task to, then the standbys, and
+// adds to the retry budget if there are any homes.
 func (p placement) relayCandidates(task rosecaller.Task) []rosemary.Member {
 	homes := p.node.RelayHomes(task.Route.Group)
 	if len(homes) > 0 {
 		p.node.retryBudget.Deposit()
 	}
-	return homes
+	return append(homes, p.node.liveStandbys(task.Route.Group)...)
 }
 
 // RelayHomes returns the live home proxies that tasks of a group are relayed to, in the
@@ -146,7 +152,7 @@
 	if !known || entry.home {
 		return nil
 	}
-	live := n.mesh.FilterLive(entry.homes)
+	live := n.mesh.FilterLive(entry.relay)
 	shuffle(live)
 	homes := make([]rosedecision.Home, 0, len(live))
 	for _, m := range live {
@@ -155,7 +161,9 @@
 			// It can't be reached.
 			continue
 		}
-		homes = append(homes, rosedecision.Home{Member: m, SameZone: sameZone, Record: n.relayClient.Record(m)})
+		homes = append(homes, rosedecision.Home{
+			Member: m, SameZone: sameZone, Record: n.relayClient.Record(m), Reserved: entry.few && !isAmong(m.Proxy, entry.settled),
+		})
 	}
 	homes = rosedecision.OrderHomes(homes, time.Now())
 	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts))
@@ -165,6 +173,19 @@
 	return ordered
 }
 
+// liveStandbys returns live standbys of a group in random order, none if this proxy is one: a
+// proxy that reaches no home relays to them, so that few proxies serve the group without
+// being its homes.
+func (n *Node) liveStandbys(group string) []rosemary.Member {
+	entry, _ := n.homesOf(group)
+	if entry.home || isAmong(n.config.Self.Proxy, entry.standbys) {
+		return nil
+	}
+	live := n.mesh.FilterLive(entry.standbys)
+	shuffle(live)
+	return live[:min(len(live), maxRelayAttempts)]
+}
+
 func shuffle(members []rosemary.Member) {
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 }
--- a/pkg/roserelay/server.go
+++ b/pkg/roserelay/server.go
@@ -23,6 +23,9 @@
 	// CheckTeam reports whether a task may run for the team that the other proxy named. If
 	// not, newest is the version of the configuration in force here. It may be nil.
 	CheckTeam func(task rosecaller.Task) (newest int64, ok bool)
+	// OnSettled is called when another proxy tells that it has long counted this one as a
+	// member; it may be nil.
+	OnSettled func()
 }
 
 // Server runs tasks for other proxies. Its methods may be called concurrently.
@@ -86,6 +89,9 @@
 		return
 	}
 	conn.SetReadLimit(maxMessageBytes)
+	if r.Header.Get(settledHeader) != "" && s.config.OnSettled != nil {
+		s.config.OnSettled()
+	}
 	l := &serverLink{server: s, conn: conn, sessionIDBase: s.lastLinkNumber.Add(1) << 32, transactions: make(map[uint64]*transaction), cancelledBegins: make(map[uint64]bool)}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
