--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,16 @@
 # allows for a busy machine. The tests of KNOWN-RED.txt are passed over.
 KNOWN_RED = ^TestLateOrderAfterTwoRestarts$$
 
+# Installations of some dozen proxies, tested at the same time, take memory under the race
+# detector; TEST_PARALLEL bounds how many there are.
+TEST_PARALLEL = 4
+
 test:
-	go test -race -short -timeout 40m -skip '$(KNOWN_RED)' ./...
+	go test -race -short -parallel $(TEST_PARALLEL) -timeout 40m -skip '$(KNOWN_RED)' ./...
 
 # The histories in their long form, for a machine with nothing else to do.
 test-long:
-	go test -race -timeout 90m -skip '$(KNOWN_RED)' ./...
+	go test -race -parallel $(TEST_PARALLEL) -timeout 90m -skip '$(KNOWN_RED)' ./...
 
 lint:
 	test -z "$$(go tool gofumpt -l .)"
--- a/internal/roseload/run_test.go
+++ b/internal/roseload/run_test.go
@@ -78,6 +78,7 @@
 }
 
 func TestHistoriesKeepEveryPromise(t *testing.T) {
+	t.Parallel()
 	for i, faults := range faultCases {
 		deployment := []string{"costa-rica", "guatemala"}[i%2]
 		t.Run(fmt.Sprintf("%s/%s", deployment, faults), func(t *testing.T) {
@@ -93,6 +94,7 @@
 // Verifies that the checks find violations: a proxy that acknowledges writes
 // without waiting for a quorum loses them when the primary is partitioned.
 func TestHistoriesCatchAnUnsafeAcknowledgement(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	report := runFaults(t, "costa-rica", "primary-cut", 7, 900, rosedaemon.Baseline{AcknowledgeOnPrimary: true})
 	c.Check(report.AcknowledgedLost > 0, qt.IsTrue)
--- a/pkg/rosegroup/lease_explore_test.go
+++ b/pkg/rosegroup/lease_explore_test.go
@@ -298,6 +298,7 @@
 var allSafeguards = promoterSafeguards{waitsForLease: true, rechecksFences: true, stopsGuarantees: true}
 
 func TestNoPrimaryLeaseOutlivesAPromotion(t *testing.T) {
+	t.Parallel()
 	states, violated := explore(allSafeguards, maxStates)
 	t.Logf("%d states", states)
 	qt.Check(t, violated == nil, qt.IsTrue, qt.Commentf("%+v", violated))
@@ -306,6 +307,7 @@
 
 // The exploration must find a violation if the promoter leaves out a safeguard.
 func TestExplorationFindsBrokenPromoters(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(*promoterSafeguards){
 		"does not wait for leases to expire": func(s *promoterSafeguards) { s.waitsForLease = false },
 		"does not look at the fences again":  func(s *promoterSafeguards) { s.rechecksFences = false },
@@ -313,6 +315,7 @@
 	}
 	for name, leaveOut := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			safeguards := allSafeguards
 			leaveOut(&safeguards)
 			states, violated := explore(safeguards, maxStates)
@@ -326,6 +329,7 @@
 // after the fences were checked again. By then a replica that has restarted is seen
 // unfenced for 1.2 s; it must not extend the old primary's lease.
 func TestNoPermissionOutlivesALateOrder(t *testing.T) {
+	t.Parallel()
 	const recheckedAt, promotedAt = PrimaryLeaseTime, PrimaryLeaseTime + 1500*time.Millisecond
 	start := at(0)
 	m := initialState()
@@ -341,6 +345,7 @@
 // TestLateOrderAfterTwoRestarts replays a promotion that takes effect at any time after both
 // replicas have restarted, which ended their fences. It must not be outlived by a lease.
 func TestLateOrderAfterTwoRestarts(t *testing.T) {
+	t.Parallel()
 	start := at(0)
 	m := initialState()
 	m.fenced = [2]bool{true, true}
--- a/pkg/rosesupervisor/explore_test.go
+++ b/pkg/rosesupervisor/explore_test.go
@@ -393,6 +393,7 @@
 }
 
 func TestExplorationFindsNoLostWrite(t *testing.T) {
+	t.Parallel()
 	for _, bounds := range []struct {
 		writes    uint8
 		maxStates int
@@ -404,12 +405,14 @@
 }
 
 func TestExplorationFindsBrokenRules(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]mutation{
 		"any fenced target is promoted":     mutationAnyFenced,
 		"acknowledged without a quorum":     mutationNoQuorum,
 		"two supervisors fence in one term": mutationSharedTerm,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			states, violation := explore(m, exploreWrites, 400_000)
 			t.Logf("states=%d violation=%q", states, violation)
 			qt.New(t).Check(violation, qt.Not(qt.Equals), "")
