--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -103,6 +103,7 @@
 func TestCapOfInstallation(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*(6*capRate+capBurst), qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -114,6 +115,7 @@
 	withCaps(t, 14, func(c *qt.C, i *capInstallation) {
 		i.ask(2*time.Second, 60, i.Proxies...)
 		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*6*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -129,6 +131,7 @@
 		lender.Kill()
 		admitted := i.ask(10*time.Second, 400, others...)
 		// Only its own part, and what it hadn't lent, may be missing at first.
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 10*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -142,6 +145,7 @@
 		i.ask(3*time.Second, 400, i.Proxies...)
 		i.Isolate(lender.Name, rosestandin.StoreHost)
 		admitted := i.ask(9*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 9*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.Heal()
 		i.ask(4*time.Second, 400, i.Proxies...)
@@ -163,6 +167,7 @@
 		i.ask(4*time.Second, 400, inside...)
 		i.Isolate(zone)
 		admitted := i.ask(6*time.Second, 800, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 6*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.ask(13*time.Second, 800, i.Proxies...)
 		i.Heal()
@@ -187,6 +192,7 @@
 		c.Assert(i.lender(), qt.IsNotNil)
 		i.ask(2*time.Second, 400, i.Proxies...)
 		admitted := i.ask(4*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*4*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
