--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -153,6 +153,26 @@
 	})
 }
 
+// TestCapLenderReplaced cuts the lender's proxy off from all, so that another proxy claims the
+// lock when the lender's lease has ended, and lends all that isn't held once the shares of
+// the cut off proxy must have ended.
+func TestCapLenderReplaced(t *testing.T) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
+		lender := i.lender()
+		c.Assert(lender, qt.IsNotNil)
+		i.ask(3*time.Second, 400, i.Proxies...)
+		i.Isolate(lender.Name)
+		i.ask(30*time.Second, 400, i.Proxies...)
+		c.Check(i.lender(), qt.Not(qt.Equals), lender)
+		admitted := i.ask(5*time.Second, 400, i.others(lender)...)
+		c.Logf("%d admitted", admitted)
+		c.Check(float64(admitted) >= 0.99*5*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.Heal()
+		i.ask(10*time.Second, 400, i.Proxies...)
+		i.checkBound(c)
+	})
+}
+
 // TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it after its
 // shares have ended.
 func TestCapZoneCutOff(t *testing.T) {
