--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -104,6 +104,7 @@
 func TestCapOfInstallation(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*(6*capRate+capBurst), qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -115,6 +116,7 @@
 	withCaps(t, 14, func(c *qt.C, i *capInstallation) {
 		i.ask(2*time.Second, 60, i.Proxies...)
 		admitted := i.ask(6*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*6*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -130,6 +132,7 @@
 		lender.Kill()
 		admitted := i.ask(10*time.Second, 400, others...)
 		// Only its own part, and what it hadn't lent, may be missing at first.
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 10*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
@@ -143,6 +146,7 @@
 		i.ask(3*time.Second, 400, i.Proxies...)
 		i.Isolate(lender.Name, rosestandin.StoreHost)
 		admitted := i.ask(9*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 9*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.Heal()
 		i.ask(4*time.Second, 400, i.Proxies...)
@@ -150,6 +154,26 @@
 	})
 }
 
+// TestCapLenderReplaced cuts the lender's proxy off from all, so that another proxy claims the
+// lock when the lender's lease has ended, and lends all that isn't held once the shares of
+// the cut off proxy must have ended.
+func TestCapLenderReplaced(t *testing.T) {
+	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
+		lender := i.lender()
+		c.Assert(lender, qt.IsNotNil)
+		i.ask(3*time.Second, 400, i.Proxies...)
+		i.Isolate(lender.Name)
+		i.ask(30*time.Second, 400, i.Proxies...)
+		c.Check(i.lender(), qt.Not(qt.Equals), lender)
+		admitted := i.ask(5*time.Second, 400, i.others(lender)...)
+		c.Logf("%d admitted", admitted)
+		c.Check(float64(admitted) >= 0.99*5*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
+		i.Heal()
+		i.ask(10*time.Second, 400, i.Proxies...)
+		i.checkBound(c)
+	})
+}
+
 // TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it after its
 // shares have ended.
 func TestCapZoneCutOff(t *testing.T) {
@@ -164,6 +188,7 @@
 		i.ask(4*time.Second, 400, inside...)
 		i.Isolate(zone)
 		admitted := i.ask(6*time.Second, 800, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 6*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.ask(13*time.Second, 800, i.Proxies...)
 		i.Heal()
@@ -188,6 +213,7 @@
 		c.Assert(i.lender(), qt.IsNotNil)
 		i.ask(2*time.Second, 400, i.Proxies...)
 		admitted := i.ask(4*time.Second, 400, i.Proxies...)
+		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*4*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
