rosefleet: a transaction that waits for its client leaves its place to others

Cause: MaxInUse bounds the requests at the target, but a transaction counted also while it waited for its client; with a few places a home, clients that rest inside transactions would stop all other work.

Change: between the statements of a transaction its connection isn't in use, and its next statement doesn't wait for a place. It is never closed for another team. The mean hold time leaves the rests out. Only with teams.

--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -281,6 +281,9 @@
 // Exchange runs statements on the connection, and updates the state of the target
 // from the last answer.
 func (l *ConnLease) Exchange(deadline time.Time, statements ...rosemary.Statement) ([]rosemary.Answer, bool, error) {
+	if l.pooled.resting {
+		l.endpoint.pool.resume(l.pooled)
+	}
 	sentAt := l.group.config.Clock.Now()
 	started := time.Now()
 	answers, sent, err := l.pooled.conn.Exchange(deadline, statements...)
@@ -289,7 +292,11 @@
 		l.observeOutcome(true)
 		return answers, sent, err
 	}
-	l.observeAnswer(answers[len(answers)-1], sentAt, time.Since(started))
+	last := answers[len(answers)-1]
+	l.observeAnswer(last, sentAt, time.Since(started))
+	if last.TransactionState != rosemary.TransactionNone {
+		l.endpoint.pool.rest(l.pooled)
+	}
 	return answers, sent, nil
 }
 
--- a/pkg/rosefleet/pool.go
+++ b/pkg/rosefleet/pool.go
@@ -42,6 +42,10 @@
 	expected time.Duration
 	// lent is set while a control call uses a connection that it didn't open.
 	lent bool
+	// resting is set between the statements of a transaction, held is how long the
+	// connection was in use before.
+	resting bool
+	held    time.Duration
 }
 
 // pool holds the connections to one target. rosedecision decides which requests
@@ -55,9 +59,9 @@
 	mu sync.Mutex
 	// idle holds the idle connections, the least recently used first.
 	idle []*pooledConn
-	// open counts the connections, with those that are being opened, and with those that
-	// the target may not have seen closed.
-	open, opening, closing int
+	// open counts the connections, with those that are being opened, with those that the
+	// target may not have seen closed, and with those that rest in a transaction.
+	open, opening, closing, resting int
 	// limit is the maximum of open connections, maxInUse that of connections in use and
 	// maxOpening that of connections opened at once; share is this proxy's share of
 	// those that the target accepts.
@@ -93,7 +97,7 @@
 }
 
 // inUse returns the number of connections in use. The lock must be held.
-func (p *pool) inUse() int { return p.open - p.closing - len(p.idle) }
+func (p *pool) inUse() int { return p.open - p.closing - p.resting - len(p.idle) }
 
 // busy reports whether as many connections are in use as allowed. The lock must be held.
 func (p *pool) busy() bool { return p.maxInUse < p.limit && p.inUse() >= p.maxInUse }
@@ -138,7 +142,7 @@
 	}
 	if t.idle > 0 {
 		c := p.popIdle(p.idleIndex(t, sessionID))
-		c.takenAt, c.expected = now, p.expectedHold(c)
+		c.takenAt, c.held, c.expected = now, 0, p.expectedHold(c)
 		return c, true
 	}
 	if !p.mayOpenNow() {
@@ -257,7 +261,7 @@
 			index = len(p.idle) - 1
 		}
 		c = p.popIdle(index)
-		c.takenAt, c.lent = time.Now(), true
+		c.takenAt, c.held, c.lent = time.Now(), 0, true
 		return c, true, hadOpen
 	}
 	if p.mayOpen(1) {
@@ -272,7 +276,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	held := now.Sub(c.takenAt)
+	held := p.endUse(c, now)
 	if !c.lent || !p.multiTeam {
 		p.meanHoldTime += time.Duration(holdTimeWeight * float64(held-p.meanHoldTime))
 	}
@@ -295,10 +299,47 @@
 func (p *pool) drop(c *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endUse(c, time.Now())
 	p.discard(c)
 	p.dispatchAfterClose()
 }
 
+// endUse returns how long a connection was in use, without the time that it rested.
+func (p *pool) endUse(c *pooledConn, now time.Time) time.Duration {
+	if c.resting {
+		c.resting = false
+		p.resting--
+		return c.held
+	}
+	return c.held + now.Sub(c.takenAt)
+}
+
+// rest records that the transaction on a connection waits for its client. With teams, its
+// place at the target goes to other requests meanwhile.
+func (p *pool) rest(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.multiTeam || c.resting {
+		return
+	}
+	c.held += time.Since(c.takenAt)
+	c.resting = true
+	p.resting++
+	p.dispatch()
+}
+
+// resume records that the transaction on a connection goes on. It doesn't wait for a place,
+// as it holds locks that others may wait for.
+func (p *pool) resume(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.resting {
+		c.resting = false
+		p.resting--
+		c.takenAt = time.Now()
+	}
+}
+
 // discard closes a connection that isn't idle. With teams, which compete for its place, the
 // place is free once the target has seen that. The lock must be held.
 func (p *pool) discard(c *pooledConn) {
--- a/pkg/rosefleet/pool_teams_test.go
+++ b/pkg/rosefleet/pool_teams_test.go
@@ -178,6 +178,35 @@
 	})
 }
 
+// A transaction that waits for its client leaves its place to others, and goes on at once.
+func TestRestingTransactionLeavesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := teamPool(2, 1)
+		a := openFor(t, p, "a")
+		_, _, w := p.take(teamRequest("b"))
+		_, granted := received(w)
+		qt.Assert(t, granted, qt.IsFalse)
+		time.Sleep(3 * time.Millisecond)
+		p.rest(a)
+		g, _ := received(w)
+		qt.Assert(t, g.ok && g.conn == nil, qt.IsTrue)
+		_, _, w = p.take(teamRequest("c"))
+		time.Sleep(time.Minute)
+		qt.Check(t, a.conn.(*fakeConn).closed, qt.IsFalse, qt.Commentf("only idle connections are closed for others"))
+		p.resume(a)
+		inUse, _, _, _ := p.load()
+		qt.Check(t, inUse, qt.Equals, 2)
+		time.Sleep(3 * time.Millisecond)
+		p.put(a)
+		time.Sleep(closeDelay)
+		synctest.Wait()
+		_, granted = received(w)
+		qt.Check(t, granted, qt.IsFalse, qt.Commentf("b uses the only place"))
+		qt.Check(t, p.meanHoldTime < initialHoldTime, qt.IsTrue, qt.Commentf("the rest counts as use: %v", p.meanHoldTime))
+		p.abandon(w)
+	})
+}
+
 // A client that gives up leaves the queue at once.
 func TestCancelledRequestLeavesQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
