rosefleet: openings go in turn unless the team's own connection may be back before

Cause: a team that needed a new connection was set back by the time to open one. That saves the opening only if one of its own connections is returned meanwhile; a team without any needs it anyway, and just waited longer.

Change: the setback applies to teams that have connections in use.

--- a/pkg/rosedecision/fairness.go
+++ b/pkg/rosedecision/fairness.go
@@ -109,7 +109,8 @@
 	Start time.Duration
 	// RoutePriority is that of the request, lowest for the most urgent.
 	RoutePriority int
-	// OpenTime is how long a connection takes to open for it; zero if it needs none.
+	// OpenTime is how long a connection takes to open that the request doesn't need if one
+	// of its team is returned soon; zero if there is none in use, or one is idle.
 	OpenTime time.Duration
 	// Sequence is the order of arrival.
 	Sequence uint64
--- a/pkg/rosefleet/pool_queue.go
+++ b/pkg/rosefleet/pool_queue.go
@@ -127,7 +127,7 @@
 		}
 		head := t.waiting[0].turn
 		turn := rosedecision.TeamTurn{Start: t.share.Start(), RoutePriority: head.Priority, Sequence: head.Sequence}
-		if t.idle == 0 {
+		if t.idle == 0 && t.open > 0 {
 			turn.OpenTime = p.meanOpenTime
 		}
 		if next == nil || turn.Before(first) {
