rosecap: a new lender learns from complete reports what is held

Locks had been handed over between proxies that had just started, and their next holders lent only 30% of the caps for 15 s, as the homes held shares and so weren't blank.

Change: a report says that it lists every share of its sender. Once all proxies that were homes in the last 15 s have made such a report, nothing is unknown. A home makes one when it sees another holder in the list of locks, and again until it is answered.

--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -25,6 +25,8 @@
 	capCheckInterval = 100 * time.Millisecond
 	// capReportTimeout bounds the wait for a lender's answer.
 	capReportTimeout = 300 * time.Millisecond
+	// lenderCheckInterval is how often a proxy checks which lenders are new.
+	lenderCheckInterval = time.Second
 	// maxHoldersTime is how long a greater number of holders counts after it has fallen:
 	// others may not have noticed that yet.
 	maxHoldersTime = time.Minute
@@ -45,9 +47,11 @@
 	// directory and teams are what the fields below were worked out from.
 	directory *directory
 	teams     *roseteam.Directory
-	// holders are the proxies that may hold shares, and groups the names of the groups.
-	holders []rosemary.ProxyID
-	groups  []string
+	// homes are the homes of all groups, homeAt when each was last known as one, and groups
+	// the names of the groups.
+	homes  []rosemary.ProxyID
+	homeAt map[rosemary.ProxyID]time.Time
+	groups []string
 	// groupsAt is when groups last changed.
 	groupsAt time.Time
 	// peak is the greatest number of holders known lately, as of peakAt. count is the number
@@ -62,6 +66,9 @@
 	busy   map[string]bool
 	// reports is set once this proxy has reported to a lender, and is to be linked to all.
 	reports bool
+	// listed maps each group to the holder of its lock at the last check, at checkedAt.
+	listed    map[string]rosemary.ProxyID
+	checkedAt time.Time
 }
 
 // groupLender is the lender of the teams of a group under one claim of its lock.
@@ -74,6 +81,7 @@
 func newUsageCaps(n *Node) *usageCaps {
 	c := &usageCaps{
 		node: n, policy: n.config.CapPolicy, lenders: make(map[string]*groupLender), lentBy: make(map[string]rosemary.ProxyID), busy: make(map[string]bool),
+		homeAt: make(map[rosemary.ProxyID]time.Time), listed: make(map[string]rosemary.ProxyID),
 	}
 	if c.policy.Window <= 0 {
 		c.policy.Window = rosecap.DefaultWindow
@@ -130,11 +138,14 @@
 	if directoryChanged {
 		c.directory = directory
 		c.setGroups(now, slices.Sorted(maps.Keys(directory.groups)))
-		c.setHolders(directory)
+		c.setHomes(directory)
+	}
+	for _, id := range c.homes {
+		c.homeAt[id] = now
 	}
 	if c.updateCount(now) || directoryChanged || former != c.teams {
 		groups := c.groups
-		_, holds := slices.BinarySearch(c.holders, c.node.config.Self.Proxy)
+		_, holds := slices.BinarySearch(c.homes, c.node.config.Self.Proxy)
 		c.limiter.SetTeams(rosecap.LimiterTeams{
 			Teams: c.teams, Holders: c.count, Holder: holds,
 			Lender: func(team string) string { return rosepeer.RendezvousChoice(team, groups) },
@@ -156,22 +167,36 @@
 	c.groups = groups
 }
 
-// setHolders records the homes of all groups. The caller holds the lock.
-func (c *usageCaps) setHolders(d *directory) {
-	c.holders = nil
+// setHomes records the homes of all groups. The caller holds the lock.
+func (c *usageCaps) setHomes(d *directory) {
+	c.homes = nil
 	for _, entry := range d.groups {
 		for _, m := range entry.relay {
-			c.holders = append(c.holders, m.Proxy)
+			c.homes = append(c.homes, m.Proxy)
+		}
+	}
+	slices.Sort(c.homes)
+	c.homes = slices.Compact(c.homes)
+}
+
+// recentHomes returns the proxies that were homes in the last rosecap.Lifetime, as far as this
+// proxy has been running. The caller holds the lock.
+func (c *usageCaps) recentHomes(now time.Time) rosecap.Homes {
+	homes := rosecap.Homes{All: time.Since(c.node.startedAt) >= rosecap.Lifetime}
+	for id, at := range c.homeAt {
+		if now.Sub(at) >= rosecap.Lifetime {
+			delete(c.homeAt, id)
+			continue
 		}
+		homes.Proxies = append(homes.Proxies, id)
 	}
-	slices.Sort(c.holders)
-	c.holders = slices.Compact(c.holders)
+	return homes
 }
 
 // updateCount updates the number of holders that this proxy's parts are worked out for, and
 // reports whether it has changed. The caller holds the lock.
 func (c *usageCaps) updateCount(now time.Time) bool {
-	if known := len(c.holders); known >= c.peak || now.Sub(c.peakAt) > maxHoldersTime {
+	if known := len(c.homes); known >= c.peak || now.Sub(c.peakAt) > maxHoldersTime {
 		c.peak, c.peakAt = known, now
 	}
 	count := max(c.peak, 1)
@@ -183,8 +208,31 @@
 	return changed
 }
 
+// followLenders has every share reported to a lender that is new by the list of locks. Without
+// a demand nothing else would tell that lender what is held here.
+func (c *usageCaps) followLenders() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reports || time.Since(c.checkedAt) < lenderCheckInterval {
+		return
+	}
+	c.checkedAt = time.Now()
+	for _, group := range c.groups {
+		holder, known := c.node.locks.Holder(group)
+		if !known || holder == c.listed[group] {
+			continue
+		}
+		c.listed[group] = holder
+		if holder != c.lentBy[group] {
+			c.lentBy[group] = holder
+			c.limiter.ReportAll(group)
+		}
+	}
+}
+
 // report sends the reports that are due.
 func (c *usageCaps) report(ctx context.Context) {
+	c.followLenders()
 	c.mu.Lock()
 	busy, first := maps.Clone(c.busy), !c.reports
 	c.mu.Unlock()
@@ -220,6 +268,9 @@
 	if former != lender {
 		klog.InfoS("cap lender changed", "group", pending.Group, "from", former, "to", lender, "teams", len(pending.Teams))
 		c.node.linkCompanions(c.node.directory.Load())
+		if lender != "" && !pending.Complete {
+			c.limiter.ReportAll(pending.Group)
+		}
 	}
 	if lender == "" {
 		c.limiter.Unanswered(pending)
@@ -279,17 +330,17 @@
 		}
 		lender = &groupLender{rosecap.NewLender(c.policy, claimedAt), generation, c.groupsAt}
 		c.lenders[group] = lender
-		klog.InfoS("cap lender begins", "group", group, "generation", generation, "holders", len(c.holders))
+		klog.InfoS("cap lender begins", "group", group, "generation", generation, "homes", len(c.homes))
 	}
 	lender.SetTeams(now, c.teams, c.count)
-	holders, groups := c.holders, c.groups
+	homes, groups := c.recentHomes(now), c.groups
 	c.mu.Unlock()
 	for _, t := range report.Teams {
 		if rosepeer.RendezvousChoice(t.Team, groups) != group {
 			return nil, false
 		}
 	}
-	return lender.Answer(now, from, report, holders)
+	return lender.Answer(now, from, report, homes)
 }
 
 // answerCaps answers a peer's report.
@@ -330,8 +381,11 @@
 	question := rosewire.Question{
 		About: rosepeer.AboutCaps, Group: pending.Group, Incarnation: &pending.Incarnation, Sequence: &pending.Sequence,
 	}
-	if pending.Blank {
-		question.Blank = &pending.Blank
+	if pending.Complete {
+		question.Complete = &pending.Complete
+	}
+	if pending.Young {
+		question.Young = &pending.Young
 	}
 	for _, t := range pending.Teams {
 		r := rosewire.CapReport{Team: t.Team, Want: encodeThousandths(t.Want), Demand: encodeThousandths(t.Demand)}
@@ -345,7 +399,9 @@
 }
 
 func decodeCapReport(question rosewire.Question) rosecap.Report {
-	report := rosecap.Report{Blank: question.Blank != nil && *question.Blank}
+	report := rosecap.Report{
+		Complete: question.Complete != nil && *question.Complete, Young: question.Young != nil && *question.Young,
+	}
 	if question.Incarnation != nil {
 		report.Incarnation = *question.Incarnation
 	}
--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -128,6 +128,9 @@
 
 func (f *fleet) claim(p *proxy) {
 	f.holder, f.lender = p, rosecap.NewLender(f.policy, f.clock.now)
+	for _, p := range f.proxies {
+		p.limiter.ReportAll("g")
+	}
 }
 
 func (f *fleet) works(p *proxy) bool {
@@ -185,7 +188,7 @@
 		for _, p := range f.proxies {
 			homes = append(homes, p.id)
 		}
-		if grants, ok := f.lender.Answer(now, p.id, e.Report, homes); ok {
+		if grants, ok := f.lender.Answer(now, p.id, e.Report, rosecap.Homes{Proxies: homes, All: true}); ok {
 			e.grants, e.answered, e.arriveAt = grants, true, now.Add(f.delay())
 			e.lost = f.random.IntN(200) == 0
 		}
@@ -397,6 +400,25 @@
 	}
 }
 
+// TestReplacedLenderLends has the lock handed over while all proxies are in touch: the next
+// lender learns at once what is held, and lends all the rest.
+func TestReplacedLenderLends(t *testing.T) {
+	c := qt.New(t)
+	usage := roseteam.Cap{Rate: 350, Burst: 350}
+	for seed := range 10 {
+		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
+		f.run(20*time.Second, "hot", 0.1*usage.Rate)
+		f.claim(f.proxies[1])
+		// It has no tokens at first.
+		f.run(3*time.Second, "hot", 0.1*usage.Rate)
+		f.resetCounts()
+		f.run(6*time.Second, "hot", 4.7*usage.Rate)
+		served, allowed := f.asked["hot"]-f.refused["hot"], f.meters["hot"].allowed
+		c.Check(float64(served) >= 0.99*float64(allowed), qt.IsTrue, qt.Commentf("seed %d: %d served of %d allowed", seed, served, allowed))
+		c.Check(worstExcess(f.ran["hot"], usage, usual) <= 0, qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
 // TestLoweredCapHolds lowers a cap, which each proxy learns within 5 s: the lower cap holds
 // in every window after that.
 func TestLoweredCapHolds(t *testing.T) {
--- a/pkg/rosecap/lender.go
+++ b/pkg/rosecap/lender.go
@@ -13,12 +13,20 @@
 type Report struct {
 	// Incarnation increases with each start of the holder, Sequence with each of its reports.
 	Incarnation, Sequence uint64
-	// Blank is set if the holder has no share of any team of this lender, and has started
-	// less than Lifetime ago.
-	Blank bool
+	// Complete is set if Teams has every team of this lender of which the holder has a share.
+	Complete bool
+	// Young is set if the holder has started less than Lifetime ago.
+	Young bool
 	Teams []TeamReport
 }
 
+// Homes are the proxies that may hold shares.
+type Homes struct {
+	Proxies []rosemary.ProxyID
+	// All is set if no other proxy was a home in the last Lifetime.
+	All bool
+}
+
 // Lender lends the shares of all teams whose lender is the holder of one lock. A Lender
 // belongs to one claim of the lock. Its methods may be called concurrently.
 type Lender struct {
@@ -30,14 +38,15 @@
 	teams   *roseteam.Directory
 	count   int
 	ledgers map[string]*ledger
-	blank   map[rosemary.ProxyID]bool
+	// complete has the holders that have made a complete report, with whether they were young.
+	complete map[rosemary.ProxyID]bool
 }
 
 // NewLender returns the lender of a lock that was claimed at claimedAt.
 func NewLender(policy Policy, claimedAt time.Time) *Lender {
 	return &Lender{
 		policy: policy, unknownUntil: claimedAt.Add(Lifetime),
-		ledgers: make(map[string]*ledger), blank: make(map[rosemary.ProxyID]bool),
+		ledgers: make(map[string]*ledger), complete: make(map[rosemary.ProxyID]bool),
 	}
 }
 
@@ -60,14 +69,12 @@
 }
 
 // Answer records a holder's report and answers it, with one grant for each of its teams.
-// It returns false for a report that is older than one already answered. The homes are those
-// that may hold shares, other holders get tokens only: once all homes have just started
-// without any, nothing is held that the lender doesn't know.
-func (l *Lender) Answer(now time.Time, holder rosemary.ProxyID, report Report, homes []rosemary.ProxyID) ([]TeamGrant, bool) {
+// It returns false for a report that is older than one already answered. Holders that are no
+// homes get tokens only.
+func (l *Lender) Answer(now time.Time, holder rosemary.ProxyID, report Report, homes Homes) ([]TeamGrant, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.recordBlank(now, holder, report.Blank, homes)
-	home := slices.Contains(homes, holder)
+	home := slices.Contains(homes.Proxies, holder)
 	grants := make([]TeamGrant, 0, len(report.Teams))
 	for _, r := range report.Teams {
 		team, found := l.teams.ByName(r.Team)
@@ -86,22 +93,26 @@
 		}
 		grants = append(grants, grant)
 	}
+	l.recordComplete(now, holder, report, homes)
 	return grants, true
 }
 
-// recordBlank ends the time in which shares may be unknown once every home is blank.
-func (l *Lender) recordBlank(now time.Time, holder rosemary.ProxyID, blank bool, homes []rosemary.ProxyID) {
+// recordComplete ends the time in which shares may be unknown once every home has reported
+// all that it holds. Others can only hold shares if they were homes in the last Lifetime: there
+// are none if all homes are known, or if all proxies have just started.
+func (l *Lender) recordComplete(now time.Time, holder rosemary.ProxyID, report Report, homes Homes) {
 	if !now.Before(l.unknownUntil) {
 		return
 	}
-	if blank {
-		l.blank[holder] = true
+	if report.Complete {
+		l.complete[holder] = report.Young
 	}
-	if len(homes) == 0 {
+	if len(homes.Proxies) == 0 {
 		return
 	}
-	for _, id := range homes {
-		if !l.blank[id] {
+	for _, id := range homes.Proxies {
+		young, complete := l.complete[id]
+		if !complete || !homes.All && !young {
 			return
 		}
 	}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -38,6 +38,10 @@
 	due      chan struct{}
 	teams    atomic.Pointer[map[string]*usage]
 	sequence atomic.Uint64
+
+	mu sync.Mutex
+	// unreported are the groups whose lender is to be told of all shares.
+	unreported map[string]bool
 }
 
 // usage is a team's allowance on this proxy.
@@ -62,7 +66,7 @@
 	if config.OnShareEnded == nil {
 		config.OnShareEnded = func(string) {}
 	}
-	l := &Limiter{config: config, startedAt: config.Clock.Now(), due: make(chan struct{}, 1)}
+	l := &Limiter{config: config, startedAt: config.Clock.Now(), due: make(chan struct{}, 1), unreported: make(map[string]bool)}
 	l.teams.Store(&map[string]*usage{})
 	return l
 }
@@ -175,6 +179,31 @@
 	Group string
 	Report
 	sentAt time.Time
+	// all is set if the report was asked for by ReportAll.
+	all bool
+}
+
+// ReportAll has the next report to the lender of a group's teams list every share, as that
+// lender may not know them.
+func (l *Limiter) ReportAll(group string) {
+	l.mu.Lock()
+	l.unreported[group] = true
+	l.mu.Unlock()
+	l.Wake()
+}
+
+// takeUnreported returns the groups of ReportAll that aren't busy, and forgets them.
+func (l *Limiter) takeUnreported(busy func(group string) bool) map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := make(map[string]bool)
+	for group := range l.unreported {
+		if !busy(group) {
+			taken[group] = true
+			delete(l.unreported, group)
+		}
+	}
+	return taken
 }
 
 // Pending returns the reports that are to be sent now, one a group, without those of groups
@@ -182,19 +211,25 @@
 func (l *Limiter) Pending(busy func(group string) bool) []PendingReport {
 	now := l.config.Clock.Now()
 	reports := make(map[string]*PendingReport)
-	holding := make(map[string]bool)
+	// left is the number of shares that the reports leave out.
+	left := make(map[string]int)
+	all := l.takeUnreported(busy)
+	for group := range all {
+		reports[group] = &PendingReport{Group: group, sentAt: now, all: true}
+	}
 	for name, u := range *l.teams.Load() {
 		if busy(u.group) {
 			continue
 		}
 		u.mu.Lock()
 		u.allowance.advance(now)
-		holding[u.group] = holding[u.group] || u.allowance.share > 0
 		if ended := u.allowance.ended; ended {
 			u.allowance.ended = false
 			l.config.OnShareEnded(name)
 		}
-		if u.allowance.due(now) {
+		held := u.allowance.share > 0
+		switch {
+		case u.allowance.due(now) || held && all[u.group]:
 			u.signaled = false
 			r := reports[u.group]
 			if r == nil {
@@ -202,13 +237,15 @@
 				reports[u.group] = r
 			}
 			r.Teams = append(r.Teams, u.allowance.report(now, name))
+		case held:
+			left[u.group]++
 		}
 		u.mu.Unlock()
 	}
 	var pending []PendingReport
 	for group, r := range reports {
 		r.Incarnation, r.Sequence = l.config.Incarnation, l.sequence.Add(1)
-		r.Blank = !holding[group] && now.Sub(l.startedAt) < Lifetime
+		r.Complete, r.Young = left[group] == 0, now.Sub(l.startedAt) < Lifetime
 		pending = append(pending, *r)
 	}
 	slices.SortFunc(pending, func(a, b PendingReport) int { return strings.Compare(a.Group, b.Group) })
@@ -243,6 +280,9 @@
 
 // Unanswered records that a report wasn't answered.
 func (l *Limiter) Unanswered(report PendingReport) {
+	if report.all {
+		l.ReportAll(report.Group)
+	}
 	teams := *l.teams.Load()
 	for _, t := range report.Teams {
 		if u := teams[t.Team]; u != nil {
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -273,13 +273,13 @@
 	// Targets with it is only answered with a newer one.
 	AgeMs *uint64 `cbor:"AgeMs,omitempty"`
 
-	// Blank is set if the sender has started a short time ago and has no share of any
-	// team of the lender.
-	Blank *bool `cbor:"Blank,omitempty"`
-
 	// Caps are the teams that a Question about Caps is about.
 	Caps []CapReport `cbor:"Caps,omitempty"`
 
+	// Complete is set if Caps has every team of the lender of which the sender has a
+	// share.
+	Complete *bool `cbor:"Complete,omitempty"`
+
 	// Digest is the digest of the targets that the sender knows; a Question about
 	// Store with it is answered without Targets if the peer's are the same.
 	Digest *uint64 `cbor:"Digest,omitempty"`
@@ -303,6 +303,9 @@
 	// Term is the term whose primary a Stop revokes or a Guarantee asks about; zero
 	// for other questions.
 	Term uint64 `cbor:"Term"`
+
+	// Young is set if the sender has started a short time ago.
+	Young *bool `cbor:"Young,omitempty"`
 }
 
 // Refusal is the reason why a statement got no answer from a target.
