--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -74,10 +74,10 @@
 
 // mayRetryElsewhere reports whether a task that a home proxy has refused may be
 // relayed to another one: it left no lasting effect, and the deadline and the
-// retry budget allow it. The session itself retries after rosemary.KindOutdated.
+// retry budget allow it.
 func (p placement) mayRetryElsewhere(ctx context.Context, task rosecaller.Task, home rosemary.Member, result rosecaller.Result) bool {
 	refusal := result.Refusal
-	if refusal == nil || refusal.Kind == rosemary.KindOutdated || ctx.Err() != nil || !time.Now().Before(task.Deadline) {
+	if refusal == nil || !homeSpecific(refusal.Kind) || ctx.Err() != nil || !time.Now().Before(task.Deadline) {
 		return false
 	}
 	repeatable := refusal.Outcome == rosemary.OutcomeNotRun || !task.Statement.Writes && task.Statement.Kind != rosemary.StatementCommit
@@ -89,6 +89,13 @@
 	return true
 }
 
+// homeSpecific reports whether another home may decide otherwise than the one that refused a
+// task. Usage caps are those of the whole fleet, and the session itself retries with a newer
+// configuration.
+func homeSpecific(kind rosemary.RefusalKind) bool {
+	return kind != rosemary.KindOutdated && kind != rosemary.KindOverCap
+}
+
 // leaving reports whether a home refused a task because it is shutting down. It is one of a
 // few at a time and its refusal cost its targets nothing, so the retry budget isn't for it.
 func leaving(refusal *rosemary.Refusal) bool {
