rosenode: parts used at once at a first start, a home that gives up serves what waits

Cause: with a reserve of one connection for each home two open transactions at one home didn't fit for 8 s after the first start of a whole fleet, when nobody can hold connections (TestHomeDrainRollsBackTransactions saw it). A home that was no longer one removed its targets at once, and what waited there waited to its deadline. Change: the first parts are used at once if the whole system starts for the first time; a home that gives up serves with the reserve for 4 s more. arrivalSpread is 8 s instead of 16 s.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -141,6 +142,7 @@
 		}
 		registrations := byGroup[name]
 		entry := directory.groups[name]
+		gave := g.handover.Usable(now)
 		g.handover = g.handover.WithPart(entry.part, now)
 		limits := entry.connLimits(g.handover.Usable(now))
 		if time.Since(n.startedAt) < startupTime {
@@ -156,7 +158,11 @@
 		if g.home && !wasHome && !fromStore {
 			n.requestTargetsRead()
 		}
-		if !g.home && g.servedTemporarily() && !fromStore {
+		if wasHome && !g.home && entry.few && gave.Open > 0 && time.Since(n.startedAt) > startupTime {
+			// What waits here is still served.
+			g.temporaryUntil = time.Now().Add(givingUpTime)
+		}
+		if !g.home && !wasHome && g.servedTemporarily() && !fromStore {
 			continue
 		}
 		if !g.home && !g.servedTemporarily() {
@@ -177,6 +183,10 @@
 	}
 }
 
+// givingUpTime is how long a proxy that is no longer a home of a group goes on serving it,
+// with the reserve, for requests that wait or were relayed before others knew.
+const givingUpTime = 4 * time.Second
+
 // startGroup starts a group and its replacer. The caller holds the lock.
 func (n *Node) startGroup(name string) *group {
 	ctx, cancel := context.WithCancel(n.context)
@@ -186,6 +196,8 @@
 			LeavingTime: n.config.LeavingTime, AllowPrimary: n.allowPrimary, ZonePartitioned: n.zonePartitioned.Load,
 		}),
 		cancel: cancel,
+		// A group that is added later may be one that was removed a moment ago.
+		handover: rosedecision.NewHandover(n.config.FirstStart && time.Since(n.startedAt) < startupTime),
 	}
 	n.groups[name] = g
 	g.replacer = rosesupervisor.NewReplacer(rosesupervisor.ReplacerConfig{
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -135,14 +135,14 @@
 	n.requestTargetsRead()
 }
 
-// relayCandidates returns the home proxies to try to relay a task to, and adds to
-// the retry budget if there are any.
+// relayCandidates returns the home proxies to try to relay a task to, then the standbys, and
+// adds to the retry budget if there are any homes.
 func (p placement) relayCandidates(task rosecaller.Task) []rosemary.Member {
 	homes := p.node.RelayHomes(task.Route.Group)
 	if len(homes) > 0 {
 		p.node.retryBudget.Deposit()
 	}
-	return homes
+	return append(homes, p.node.liveStandbys(task.Route.Group)...)
 }
 
 // RelayHomes returns the live home proxies that tasks of a group are relayed to, in the
@@ -166,18 +166,19 @@
 		})
 	}
 	homes = rosedecision.OrderHomes(homes, time.Now())
-	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts), 2*maxRelayAttempts)
+	ordered := make([]rosemary.Member, min(len(homes), maxRelayAttempts))
 	for i := range ordered {
 		ordered[i] = homes[i].Member
 	}
-	return append(ordered, n.liveStandbys(entry)...)
+	return ordered
 }
 
 // liveStandbys returns live standbys of a group in random order, none if this proxy is one: a
 // proxy that reaches no home relays to them, so that few proxies serve the group without
 // being its homes.
-func (n *Node) liveStandbys(entry groupHomes) []rosemary.Member {
-	if isAmong(n.config.Self.Proxy, entry.standbys) {
+func (n *Node) liveStandbys(group string) []rosemary.Member {
+	entry, _ := n.homesOf(group)
+	if entry.home || isAmong(n.config.Self.Proxy, entry.standbys) {
 		return nil
 	}
 	live := n.mesh.FilterLive(entry.standbys)
--- a/pkg/rosedecision/handover.go
+++ b/pkg/rosedecision/handover.go
@@ -33,10 +33,16 @@
 // gives connections up at once and takes them after the others have given them up. The zero
 // value was never given anything.
 type Handover struct {
+	// free is set if no other home can hold what the first part gives.
+	free bool
 	// given are the parts in the order of their times, each until the next one.
 	given []datedPart
 }
 
+// NewHandover returns the handover of a home that was never given anything. At the first start
+// of a whole fleet no other home can hold connections, and the first part is used at once.
+func NewHandover(firstStart bool) Handover { return Handover{free: firstStart} }
+
 type datedPart struct {
 	part Part
 	from time.Time
@@ -53,7 +59,7 @@
 	for first < last && now.Sub(h.given[first+1].from) >= HandoverTime {
 		first++
 	}
-	next := Handover{given: make([]datedPart, 0, len(h.given)-first+1)}
+	next := Handover{free: h.free, given: make([]datedPart, 0, len(h.given)-first+1)}
 	if last >= 0 {
 		next.given = append(next.given, h.given[first:]...)
 	}
@@ -63,7 +69,7 @@
 
 // Usable returns what the home may use now.
 func (h Handover) Usable(now time.Time) Part {
-	if len(h.given) == 0 || now.Sub(h.given[0].from) < HandoverTime {
+	if len(h.given) == 0 || !h.free && now.Sub(h.given[0].from) < HandoverTime {
 		// Nothing was given at the start of the window.
 		return Part{}
 	}
--- a/pkg/rosedecision/roster.go
+++ b/pkg/rosedecision/roster.go
@@ -12,7 +12,7 @@
 	// absenceTime is how long a member that has vanished counts on.
 	absenceTime = 5 * time.Second
 	// arrivalSpread is the longest time after which a member that has arrived counts.
-	arrivalSpread = 16 * time.Second
+	arrivalSpread = 8 * time.Second
 	// rosterStartTime is how long after its start a proxy takes the members that it sees as
 	// settled.
 	rosterStartTime = absenceTime
