roserelay: homes tell their wait with each result

Cause: a proxy knew how busy a home was only by its own requests' times, of which it sees a few a second; when clients moved to another zone, that zone's homes filled up while those of others had room. Change: rosewire.Result has an optional WaitMs, the wait for a connection to the target that answered; it counts for 300 ms, ever less. Answer times count ever less as they age, half after 20 s, for the mean of the homes.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -153,7 +153,7 @@
 	if config.Clock != nil {
 		n.roster = rosedecision.NewRoster(config.Self, config.FirstStart, config.Clock.Now())
 	}
-	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, OnSettled: n.observeSettled})
+	n.relayServer = roserelay.NewServer(roserelay.ServerConfig{Executor: servingExecutor{n}, OnSettled: n.observeSettled, Wait: n.connectionWait})
 	n.relayClient = roserelay.NewClient(roserelay.ClientConfig{Dialer: config.PeerDialer, Settled: n.longSettled})
 	n.locks = rosesupervisor.NewLockManager(rosesupervisor.LockManagerConfig{
 		Store:          config.Store,
--- a/internal/rosenode/roster.go
+++ b/internal/rosenode/roster.go
@@ -49,3 +49,13 @@
 	defer n.mu.Unlock()
 	return n.roster.LongSettled(home.Proxy, n.config.Clock.Now())
 }
+
+// connectionWait estimates how long a further request would wait here for a connection to
+// a target.
+func (n *Node) connectionWait(group string, target rosemary.TargetID) time.Duration {
+	g, known := n.Group(group)
+	if !known {
+		return 0
+	}
+	return g.ConnectionWait(target)
+}
--- a/pkg/rosecaller/task.go
+++ b/pkg/rosecaller/task.go
@@ -54,6 +54,9 @@
 	Primary bool
 	// Open is set while the transaction is open on its target.
 	Open bool
+	// Wait is how long a further request would wait for a connection to Target at the
+	// proxy that ran the task for another one.
+	Wait time.Duration
 }
 
 // Executor runs tasks on targets, through this proxy's connections or those of
--- a/pkg/rosedecision/home.go
+++ b/pkg/rosedecision/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,11 @@
 	// slowHomeFactor is how much more than another one a home of the same zone may cost
 	// before that one is preferred, as answer times vary with the statements.
 	slowHomeFactor = 2
+	// answerTimeHalfLife is the age at which an answer time counts half, and the mean of the
+	// homes the other half: a home that was slow is tried again.
+	answerTimeHalfLife = 20 * time.Second
+	// maxWaitAge is how long the wait that a home told counts, ever less.
+	maxWaitAge = 300 * time.Millisecond
 	// reservedHomeFactor and reservedHomePenalty keep requests off a home that has only a
 	// reserve, while another one of its zone has room.
 	reservedHomeFactor  = 2
@@ -49,10 +55,15 @@
 	answerTime time.Duration
 	// lostAt is when the home couldn't be reached or fell silent, zero once it answers.
 	lostAt time.Time
+	// wait is the wait for a connection that the home told with its last answer, at answeredAt.
+	wait       time.Duration
+	answeredAt time.Time
 }
 
-// WithAnswer returns the record after an answer that took some time.
-func (r HomeRecord) WithAnswer(took time.Duration) HomeRecord {
+// WithAnswer returns the record after an answer that took some time, with which the home told
+// how long a further request would wait there.
+func (r HomeRecord) WithAnswer(took, wait time.Duration, now time.Time) HomeRecord {
+	r.wait, r.answeredAt = wait, now
 	if r.answerTime == 0 {
 		r.answerTime = took
 	}
@@ -79,12 +90,23 @@
 	return !r.lostAt.IsZero() && (now.Sub(r.lostAt) < lostHomeTime || r.InFlight > 0)
 }
 
-// cost estimates the time until the answer of a request relayed now.
-func (h Home) cost(unknownTime time.Duration) time.Duration {
-	answerTime := h.Record.answerTime
-	if answerTime == 0 {
-		answerTime = unknownTime
+// expectedTime estimates the time of an answer, given that of an unknown home.
+func (r HomeRecord) expectedTime(unknownTime time.Duration, now time.Time) time.Duration {
+	if r.answerTime == 0 {
+		return unknownTime
+	}
+	age := now.Sub(r.answeredAt)
+	known := math.Exp2(-float64(age) / float64(answerTimeHalfLife))
+	expected := time.Duration(known*float64(r.answerTime) + (1-known)*float64(unknownTime))
+	if age < maxWaitAge {
+		expected += time.Duration(float64(r.wait) * (1 - float64(age)/float64(maxWaitAge)))
 	}
+	return expected
+}
+
+// cost estimates the time until the answer of a request relayed now.
+func (h Home) cost(unknownTime time.Duration, now time.Time) time.Duration {
+	answerTime := h.Record.expectedTime(unknownTime, now)
 	cost := answerTime + time.Duration(h.Record.InFlight)*inFlightCost
 	if h.Reserved {
 		cost = reservedHomeFactor*cost + reservedHomePenalty
@@ -108,7 +130,7 @@
 			}
 			return -1
 		}
-		return cmp.Compare(a.cost(unknownTime), b.cost(unknownTime))
+		return cmp.Compare(a.cost(unknownTime, now), b.cost(unknownTime, now))
 	})
 	return ordered
 }
--- a/pkg/rosedecision/home_test.go
+++ b/pkg/rosedecision/home_test.go
@@ -51,7 +51,7 @@
 				*record = record.WithLoss(start.Add(e.at))
 				lost++
 			default:
-				*record = record.WithAnswer(e.took)
+				*record = record.WithAnswer(e.took, 0, start.Add(e.at))
 			}
 			*record = record.WithInFlight(record.InFlight - 1)
 		}
--- a/pkg/roserelay/client.go
+++ b/pkg/roserelay/client.go
@@ -147,7 +147,7 @@
 		case delivery == Answered && result.Refusal != nil && result.Refusal.Kind == rosemary.KindDraining:
 			return r.WithLoss(time.Now())
 		case delivery == Answered:
-			return r.WithAnswer(time.Since(started))
+			return r.WithAnswer(time.Since(started), result.Wait, time.Now())
 		case ctx.Err() == nil:
 			return r.WithLoss(time.Now())
 		}
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -149,6 +149,7 @@
 		Target:      optional(string(r.Target)),
 		Primary:     optional(r.Primary),
 		Open:        optional(r.Open),
+		WaitMs:      optional(uint64(r.Wait.Milliseconds())),
 	}
 	if r.Refusal != nil {
 		result.Refusal = &rosewire.Refusal{
@@ -170,6 +171,7 @@
 		Target:             rosemary.TargetID(orZero(r.Target)),
 		Primary:            orZero(r.Primary),
 		Open:               orZero(r.Open),
+		Wait:               time.Duration(orZero(r.WaitMs)) * time.Millisecond,
 	}
 	if r.Refusal != nil {
 		result.Refusal = &rosemary.Refusal{
--- a/pkg/roserelay/server.go
+++ b/pkg/roserelay/server.go
@@ -23,6 +23,9 @@
 	// OnSettled is called when another proxy tells that it has long counted this one as a
 	// member; it may be nil.
 	OnSettled func()
+	// Wait returns how long a further request would wait for a connection to a target; nil
+	// means that it is not told.
+	Wait func(group string, target rosemary.TargetID) time.Duration
 }
 
 // Server runs tasks for other proxies. Its methods may be called concurrently.
@@ -266,6 +269,9 @@
 		klog.InfoS("task of another proxy refused", "request", task.Statement.ID, "group", task.Route.Group, "do", order.Do,
 			"kind", result.Refusal.Kind, "outcome", result.Refusal.Outcome, "target", result.Target, "message", result.Refusal.Message)
 	}
+	if wait := l.server.config.Wait; wait != nil && result.Target != "" {
+		result.Wait = wait(task.Route.Group, result.Target)
+	}
 	l.sendResult(ctx, encodeResult(order.Number, result))
 	l.mu.Lock()
 	l.running--
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -394,6 +394,10 @@
 
 	// Uncertain is set if the outcome of a write is unknown.
 	Uncertain *bool `cbor:"Uncertain,omitempty"`
+
+	// WaitMs is how long a further request would wait at the home proxy for a
+	// connection to Target.
+	WaitMs *uint64 `cbor:"WaitMs,omitempty"`
 }
 
 // Statement is one request of a session.
