rosenode: open connections of teams stay within a target's

Cause: a home's part of open connections was at least that in use, which together passed a target's connections where those are few (37 connections, 4 slots, 4 homes). Change: the part in use is at most that of open connections. TestHomePartsStayWithinRoom failed before at 37 connections and 4 slots, and at 44 and 5. Conclusion: the sums hold for 30 to 150 connections, 2 to 6 slots.

--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -98,7 +98,8 @@
 	reserve.Open, part.Open = reserve.InUse, part.InUse
 	if teams {
 		reserve.Open = max(reserve.InUse, room/reservedShare/count)
-		part.Open = max(divide(room-count*reserve.Open, self, settled), part.InUse)
+		part.Open = divide(room-count*reserve.Open, self, settled)
+		part.InUse = min(part.InUse, part.Open)
 	}
 	return part, reserve
 }
--- a/internal/rosenode/homes_test.go
+++ b/internal/rosenode/homes_test.go
@@ -52,3 +52,32 @@
 		})
 	}
 }
+
+// Where not every proxy is a home, the parts of all homes and a reserve for each stay within a
+// target's connections, those in use within its slots and its queue.
+func TestHomePartsStayWithinRoom(t *testing.T) {
+	for _, members := range [][]rosemary.Member{proxies(30, 21, 18), proxies(17, 13, 14, 17), proxies(40, 40, 40), proxies(100, 1, 100)} {
+		for connections := 30; connections <= 150; connections += 7 {
+			for slots := 2; slots <= 6; slots++ {
+				for _, teams := range []bool{false, true} {
+					settings := rosemary.GroupSettings{Name: "g", MaxConnections: connections}
+					settled := homes("g", availableConns(settings, slots), members)
+					if len(settled) == len(members) {
+						continue
+					}
+					open, inUse := 0, 0
+					for _, m := range settled {
+						part, reserve := homeParts(settings, slots, teams, m, settled)
+						open += part.Open + reserve.Open
+						inUse += part.InUse + reserve.InUse
+						qt.Check(t, reserve.InUse*len(settled) >= slots, qt.IsTrue)
+						qt.Check(t, part.InUse >= reserve.InUse, qt.IsTrue, qt.Commentf("part %+v, reserve %+v", part, reserve))
+					}
+					comment := qt.Commentf("%d connections, %d slots, teams %v, %d homes: %d open, %d in use", connections, slots, teams, len(settled), open, inUse)
+					qt.Check(t, open <= connections-controlConnections, qt.IsTrue, comment)
+					qt.Check(t, inUse <= slots+targetQueue, qt.IsTrue, comment)
+				}
+			}
+		}
+	}
+}
