--- a/pkg/rosecaller/task.go
+++ b/pkg/rosecaller/task.go
@@ -60,6 +60,9 @@
 	// Spent is where the time went at the proxy that ran the task; zero unless its
 	// answer was late there.
 	Spent Spent
+	// Wait is how long a further request would wait for a connection to Target at the
+	// proxy that ran the task for another one.
+	Wait time.Duration
 }
 
 // Spent is where the time of a task went.
--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -151,6 +151,7 @@
 		Open:        optional(r.Open),
 
 		NewerVersion: optional(uint64(r.NewerVersion)),
+		WaitMs:       optional(uint64(r.Wait.Milliseconds())),
 	}
 	if r.Spent != (rosecaller.Spent{}) {
 		result.Spent = &rosewire.Spent{
@@ -179,6 +180,7 @@
 		Primary:            orZero(r.Primary),
 		Open:               orZero(r.Open),
 		NewerVersion:       int64(orZero(r.NewerVersion)),
+		Wait:               time.Duration(orZero(r.WaitMs)) * time.Millisecond,
 	}
 	if s := r.Spent; s != nil {
 		result.Spent = rosecaller.Spent{
