rosenode: teams use at most as many connections at once as a target has slots

Change: each home bounds the connections in use by the slots, so that a home alone can fill them and most of what waits does so by fair turns. Only where the configuration has teams.

--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -99,7 +99,8 @@
 	if teams {
 		reserve.Open = max(reserve.InUse, room/reservedShare/count)
 		part.Open = divide(room-count*reserve.Open, self, settled)
-		part.InUse = min(part.InUse, part.Open)
+		// What goes beyond the slots would wait at the target, in the order of arrival.
+		part.InUse = min(part.InUse, part.Open, max(slots, reserve.InUse))
 	}
 	return part, reserve
 }
