rosenode: log the usage caps that a new configuration changes

Cause: whether a team was refused within its cap couldn't be told from the logs.

Change: one line for each team whose cap differs from the version before.

Conclusion: bounded by the teams of a configuration.

--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -134,6 +134,9 @@
 	defer c.mu.Unlock()
 	former := c.teams
 	c.teams = configuration.Teams
+	if former != c.teams {
+		logCapChanges(former, c.teams)
+	}
 	directoryChanged := c.directory != directory
 	if directoryChanged {
 		c.directory = directory
@@ -155,6 +158,20 @@
 	return c.teams != nil, (former == nil) != (c.teams == nil)
 }
 
+// logCapChanges logs the caps that differ between two versions of the teams.
+func logCapChanges(former, next *roseteam.Directory) {
+	if former == nil || next == nil {
+		return
+	}
+	for _, t := range next.Teams() {
+		before, known := former.ByName(t.Name)
+		if known && t.Cap != nil && before.Cap != nil && *t.Cap != *before.Cap {
+			klog.InfoS("usage cap changed", "team", t.Name, "version", next.Version(), "rate", t.Cap.Rate, "burst", t.Cap.Burst,
+				"fromRate", before.Cap.Rate, "fromBurst", before.Cap.Burst)
+		}
+	}
+}
+
 // setGroups records the configured groups. The caller holds the lock.
 func (c *usageCaps) setGroups(now time.Time, groups []string) {
 	if slices.Equal(groups, c.groups) {
