rosecap: the excess of a cap is a rate where there are enough tokens

Change: with two tokens or more for each holder the tolerated excess raises the rate instead of lying idle as tokens; no window holds more than before.

--- a/pkg/rosecap/split.go
+++ b/pkg/rosecap/split.go
@@ -42,16 +42,27 @@
 	Slack  float64
 }
 
-// tolerance returns the number of operations by which a window may exceed the cap.
-func (p Policy) tolerance(usage roseteam.Cap) float64 {
-	return p.Excess*(usage.Rate*p.Window.Seconds()+usage.Burst) + p.Slack
+// tokensPerHolder is the number of tokens for each holder from which on the excess is used as
+// a rate. With fewer it is needed for holders to keep tokens at all.
+const tokensPerHolder = 2
+
+// allowance returns the rate at which a team may go on, and the number of tokens that may be
+// held at once. A window then holds at most the cap with the excess and the slack. As a rate
+// the excess serves callers whom the operators' meter allows, which counts other operations
+// than the first ones.
+func (p Policy) allowance(usage roseteam.Cap, holders float64) (rate, tokens float64) {
+	tokens = (1+p.Excess)*usage.Burst + p.Slack
+	if tokens >= tokensPerHolder*holders {
+		return (1 + p.Excess) * usage.Rate, tokens
+	}
+	return usage.Rate, tokens + p.Excess*usage.Rate*p.Window.Seconds()
 }
 
 // split divides what a team may use in one window among the holders and the lender. The
 // burst and the tolerance together are the sum of all tokens that may be held at once, and
 // of what holders may use without a lender in a window.
 type split struct {
-	// rate is the rate of the cap.
+	// rate is the rate of the cap with the excess.
 	rate float64
 	// floorBurst is the number of tokens that each holder may keep without a share, and
 	// floorRate the rate at which it gets them without a lender.
@@ -64,8 +75,9 @@
 // newSplit divides a cap among a number of holders. Each holder keeps a whole token of its
 // own, if there are enough, as an operation at a holder without one is refused.
 func newSplit(usage roseteam.Cap, policy Policy, holders int) split {
-	tolerance, count := policy.tolerance(usage), float64(max(holders, 1))
-	tokens := usage.Burst + tolerance
+	count := float64(max(holders, 1))
+	rate, tokens := policy.allowance(usage, count)
+	tolerance := tokens - usage.Burst
 	var floors, unasked float64
 	if count <= tokens {
 		unasked = min(tolerance/4, (tokens-count)/4)
@@ -74,7 +86,7 @@
 	rest := tokens - unasked - floors
 	// A part of the rest that is less than a token serves no holder.
 	lent := min(rest/2, rest*rest/2/count)
-	s := split{rate: usage.Rate, floorBurst: floors / count, lentBurst: lent, lenderBurst: rest - lent}
+	s := split{rate: rate, floorBurst: floors / count, lentBurst: lent, lenderBurst: rest - lent}
 	if policy.Window > 0 {
 		s.floorRate = unasked / count / policy.Window.Seconds()
 	}
