rosenode: a proxy is ready once it reaches a home of each group

Cause: a proxy that was added or restarted got clients before it knew a live home of their groups. Conclusion: fleets in which every proxy is a home are as before.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -367,7 +367,7 @@
 			return false
 		}
 	}
-	return true
+	return n.reachesGroups()
 }
 
 // BeginDrain makes the proxy not ready, so that the load balancer sends new
--- a/internal/rosenode/placement.go
+++ b/internal/rosenode/placement.go
@@ -186,6 +186,21 @@
 	return live[:min(len(live), maxRelayAttempts)]
 }
 
+// reachesGroups reports whether there is a live home to relay to for each group that this
+// proxy isn't a home of.
+func (n *Node) reachesGroups() bool {
+	d := n.directory.Load()
+	if d == nil || !d.few() {
+		return true
+	}
+	for name, entry := range d.groups {
+		if !entry.home && len(n.RelayHomes(name)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func shuffle(members []rosemary.Member) {
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 }
