rosenode, rosecommand: caps worked out only at a change; one way to ask all proxies

Cause: read as a newcomer: parts of caps were worked out and metrics registered every second without a change, and three commands had a copy of the same requests.

Change: SetTeams is called when teams, groups or holders change; fetchAll serves status, teams and targets.

Conclusion: no behaviour changes.

--- a/internal/rosecommand/admin.go
+++ b/internal/rosecommand/admin.go
@@ -30,32 +30,40 @@
 	return flags.String("admin", "127.0.0.1:6434", "admin addresses of the proxies, separated by commas")
 }
 
-// stateReply is the state of one proxy, or the error of the request for it.
-type stateReply struct {
+// adminReply is what one proxy tells of itself, or the error of the request for it.
+type adminReply[T any] struct {
 	Address string
-	State   *rosedaemon.State `json:",omitempty"`
-	Error   string            `json:",omitempty"`
+	State   *T     `json:",omitempty"`
+	Error   string `json:",omitempty"`
 }
 
+// stateReply is the state of one proxy.
+type stateReply = adminReply[rosedaemon.State]
+
 // fetchStates requests the state of all proxies concurrently. The addresses are
 // separated by commas.
 func fetchStates(ctx context.Context, addresses string) []stateReply {
+	return fetchAll[rosedaemon.State](ctx, addresses, "/state")
+}
+
+// fetchAll requests what all proxies have at a path of their admin addresses, concurrently.
+func fetchAll[T any](ctx context.Context, addresses, path string) []adminReply[T] {
 	addressList := strings.Split(addresses, ",")
-	replies := make([]stateReply, len(addressList))
+	replies := make([]adminReply[T], len(addressList))
 	var tasks errgroup.Group
 	for i, address := range addressList {
 		tasks.Go(func() error {
 			replies[i].Address = address
-			var state rosedaemon.State
-			body, err := adminRequest(ctx, http.MethodGet, address, "/state", adminTimeout)
+			state := new(T)
+			body, err := adminRequest(ctx, http.MethodGet, address, path, adminTimeout)
 			if err == nil {
-				err = json.Unmarshal(body, &state)
+				err = json.Unmarshal(body, state)
 			}
 			if err != nil {
 				replies[i].Error = trace.UserMessage(err)
 				return nil
 			}
-			replies[i].State = &state
+			replies[i].State = state
 			return nil
 		})
 	}
--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -238,7 +238,7 @@
 			klog.InfoS("teams not sent", "err", roselog.ErrorMessage(err))
 		}
 	})
-	mux.HandleFunc("GET /targets", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+targetsPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		// An error means that the client is gone.
 		_ = json.NewEncoder(w).Encode(node.TargetUses())
--- a/internal/rosecommand/targets.go
+++ b/internal/rosecommand/targets.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -16,16 +13,15 @@
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 )
 
+// targetsPath is the path of a proxy's targets at its admin address.
+const targetsPath = "/targets"
+
 func init() {
 	register(command{"targets", "show whether proxies on the platform use their targets, and why not", runTargets})
 }
 
-// targetsReply is what one proxy tells of its targets, or the error of the request for it.
-type targetsReply struct {
-	Address string
-	Targets []rosefleet.TargetUse `json:",omitempty"`
-	Error   string                `json:",omitempty"`
-}
+// targetsReply is what one proxy tells of its targets.
+type targetsReply = adminReply[[]rosefleet.TargetUse]
 
 func runTargets(ctx context.Context, streams IOStreams, args []string) error {
 	flags := flag.NewFlagSet("targets", flag.ContinueOnError)
@@ -34,28 +30,13 @@
 	if err := parseFlags(flags, streams, args); err != nil {
 		return err
 	}
-	var replies []targetsReply
-	for _, address := range strings.Split(*admin, ",") {
-		replies = append(replies, fetchTargets(ctx, address))
-	}
+	replies := fetchAll[[]rosefleet.TargetUse](ctx, *admin, targetsPath)
 	if *asJSON {
 		return printJSON(streams, replies)
 	}
 	return writeTargets(streams.Out, replies)
 }
 
-func fetchTargets(ctx context.Context, address string) targetsReply {
-	reply := targetsReply{Address: address}
-	body, err := adminRequest(ctx, http.MethodGet, address, "/targets", adminTimeout)
-	if err == nil {
-		err = json.Unmarshal(body, &reply.Targets)
-	}
-	if err != nil {
-		reply.Error = trace.UserMessage(err)
-	}
-	return reply
-}
-
 func writeTargets(out io.Writer, replies []targetsReply) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "PROXY\tGROUP\tTARGET\tROLE\tZONE\tUSED\tLAG\tAGE\tTELLS\tAPPLIED\tRECEIVED")
@@ -64,7 +45,7 @@
 			fmt.Fprintf(table, "%s\t%s\n", r.Address, r.Error)
 			continue
 		}
-		for _, t := range r.Targets {
+		for _, t := range *r.State {
 			used := "yes"
 			if t.Unused != "" {
 				used = "no, " + string(t.Unused)
--- a/internal/rosecommand/teams.go
+++ b/internal/rosecommand/teams.go
@@ -3,18 +3,15 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosenode"
 )
@@ -26,12 +23,8 @@
 	register(command{"teams", "show the teams that each proxy on the platform serves", runTeams})
 }
 
-// teamsReply is the teams of one proxy, or the error of the request for them.
-type teamsReply struct {
-	Address string
-	State   *rosenode.TeamsState `json:",omitempty"`
-	Error   string               `json:",omitempty"`
-}
+// teamsReply is the teams of one proxy.
+type teamsReply = adminReply[rosenode.TeamsState]
 
 func runTeams(ctx context.Context, streams IOStreams, args []string) error {
 	flags := flag.NewFlagSet("teams", flag.ContinueOnError)
@@ -40,37 +33,13 @@
 	if err := parseFlags(flags, streams, args); err != nil {
 		return err
 	}
-	replies := fetchTeams(ctx, strings.Split(*admin, ","))
+	replies := fetchAll[rosenode.TeamsState](ctx, *admin, teamsPath)
 	if *asJSON {
 		return printJSON(streams, replies)
 	}
 	return trace.Wrap(printTeams(streams.Out, replies))
 }
 
-// fetchTeams requests the teams of all proxies concurrently.
-func fetchTeams(ctx context.Context, addresses []string) []teamsReply {
-	replies := make([]teamsReply, len(addresses))
-	var tasks errgroup.Group
-	for i, address := range addresses {
-		tasks.Go(func() error {
-			replies[i].Address = address
-			var state rosenode.TeamsState
-			body, err := adminRequest(ctx, http.MethodGet, address, teamsPath, adminTimeout)
-			if err == nil {
-				err = json.Unmarshal(body, &state)
-			}
-			if err != nil {
-				replies[i].Error = trace.UserMessage(err)
-				return nil
-			}
-			replies[i].State = &state
-			return nil
-		})
-	}
-	_ = tasks.Wait()
-	return replies
-}
-
 // noValue stands for a value that a proxy doesn't have.
 const noValue = "-"
 
--- a/internal/rosecommand/teams_test.go
+++ b/internal/rosecommand/teams_test.go
@@ -36,7 +36,7 @@
 		defer server.Close()
 		addresses = append(addresses, server.Listener.Addr().String())
 	}
-	replies := append(fetchTeams(context.Background(), addresses), teamsReply{Address: "10.0.0.3:1", Error: "no response"})
+	replies := append(fetchAll[rosenode.TeamsState](context.Background(), strings.Join(addresses, ","), teamsPath), teamsReply{Address: "10.0.0.3:1", Error: "no response"})
 	var out bytes.Buffer
 	c.Assert(printTeams(&out, replies), qt.IsNil)
 	want, err := os.ReadFile(filepath.Join("testdata", "teams.golden"))
--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -37,8 +37,8 @@
 	restartTime = 15 * time.Second
 )
 
-// usageCaps keeps the teams within their usage caps. Each proxy that runs operations holds
-// parts of the caps; the holder of the lock of a group lends them.
+// usageCaps keeps the teams within their usage caps. Settled homes have even parts of the caps;
+// the holder of the lock of a group lends the rest.
 type usageCaps struct {
 	node    *Node
 	policy  rosecap.Policy
@@ -76,14 +76,13 @@
 
 func newUsageCaps(n *Node) *usageCaps {
 	c := &usageCaps{
-		node: n, policy: n.config.CapPolicy, lenders: make(map[string]*groupLender), lentBy: make(map[string]rosemary.ProxyID), busy: make(map[string]bool), lastHomes: make(map[rosemary.ProxyID]lastHome),
+		node: n, policy: n.config.CapPolicy, lastHomes: make(map[rosemary.ProxyID]lastHome),
+		lenders: make(map[string]*groupLender), lentBy: make(map[string]rosemary.ProxyID), busy: make(map[string]bool),
 	}
 	if c.policy.Window <= 0 {
 		c.policy.Window = rosecap.DefaultWindow
 	}
-	c.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{
-		Policy: c.policy, Clock: n.config.Clock,
-	})
+	c.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{Policy: c.policy, Clock: n.config.Clock})
 	return c
 }
 
@@ -131,18 +130,21 @@
 	if former != c.teams {
 		logCapChanges(former, c.teams)
 	}
-	directoryChanged := c.directory != directory || now.Sub(c.checkedAt) > homesCheckInterval
-	if directoryChanged {
+	outdated := former != c.teams
+	if c.directory != directory || now.Sub(c.checkedAt) > homesCheckInterval {
 		c.directory, c.checkedAt = directory, now
-		c.setGroups(now, slices.Sorted(maps.Keys(directory.groups)))
-		c.setHomes(now, directory)
+		groupsChanged := c.setGroups(now, slices.Sorted(maps.Keys(directory.groups)))
+		homesChanged := c.setHomes(now, directory)
+		outdated = outdated || groupsChanged || homesChanged
 	}
-	if directoryChanged || former != c.teams {
+	if outdated {
 		groups := c.groups
 		c.limiter.SetTeams(rosecap.LimiterTeams{
 			Teams: c.teams, Holders: c.holders, CountedSince: c.countedSince,
 			Lender: func(team string) string { return rosepeer.RendezvousChoice(team, groups) },
 		})
+	}
+	if former != c.teams {
 		c.node.metrics.trackOverCap(c.teams, c.limiter)
 	}
 	return c.teams != nil, (former == nil) != (c.teams == nil)
@@ -162,16 +164,18 @@
 	}
 }
 
-// setGroups records the configured groups. The caller holds the lock.
-func (c *usageCaps) setGroups(now time.Time, groups []string) {
+// setGroups records the configured groups, and reports whether they have changed. The caller
+// holds the lock.
+func (c *usageCaps) setGroups(now time.Time, groups []string) bool {
 	if slices.Equal(groups, c.groups) {
-		return
+		return false
 	}
 	if c.groups != nil {
 		// Teams may have had other lenders until now.
 		c.groupsAt = now
 	}
 	c.groups = groups
+	return true
 }
 
 // lastHome is the weight of a home, and when it was last known as one.
@@ -181,8 +185,9 @@
 }
 
 // setHomes records the settled homes of all groups. Those of the last maxHoldersTime count, as
-// they may not have noticed, or be cut off. The caller holds the lock.
-func (c *usageCaps) setHomes(now time.Time, d *directory) {
+// they may not have noticed, or be cut off. It reports whether what counts has changed. The
+// caller holds the lock.
+func (c *usageCaps) setHomes(now time.Time, d *directory) bool {
 	weights := make(map[rosemary.ProxyID]int)
 	for name, entry := range d.groups {
 		if d.slots[name] == 0 {
@@ -207,6 +212,9 @@
 		holders.All = append(holders.All, h.weight)
 	}
 	slices.Sort(holders.All)
+	if holders.Own == c.holders.Own && slices.Equal(holders.All, c.holders.All) {
+		return false
+	}
 	if holders.Own > c.holders.Own {
 		c.countedSince = now
 		if running := time.Since(c.node.startedAt); running < restartTime {
@@ -215,6 +223,7 @@
 		}
 	}
 	c.holders = holders
+	return true
 }
 
 // report sends the reports that are due.
