rosenode: one home of a group in each zone where connections are those of teams

Cause: a connection serves one team, and 78 teams shared the five connections of a home, so that half of all requests opened one (12 ms of a slot). The seven connections a slot that all homes may use together bounded the open ones, too, though requests in use have had a bound of their own since connections are those of teams. Change: with teams all connections of a target are divided, and a home of few has at least 20. Without teams nothing changes. One home a zone is one failure domain; its standbys serve while it is gone.

--- a/internal/rosenode/directory.go
+++ b/internal/rosenode/directory.go
@@ -56,14 +56,14 @@
 
 // newGroupHomes returns the homes of a group.
 func newGroupHomes(self rosemary.Member, settings rosemary.GroupSettings, slots int, teams bool, members, settled []rosemary.Member) groupHomes {
-	available := availableConns(settings, slots)
-	e := groupHomes{homes: homes(settings.Name, available, members), teams: teams}
+	available := availableConns(settings, slots, teams)
+	e := groupHomes{homes: homes(settings.Name, available, teams, members), teams: teams}
 	e.few = len(e.homes) < len(members)
 	e.relay = e.homes
 	e.limits = allLimits(settings, slots, teams, self, e.homes)
 	e.part = partOf(e.limits)
 	if e.few {
-		e.settled = homes(settings.Name, available, settled)
+		e.settled = homes(settings.Name, available, teams, settled)
 		e.relay = slices.Clone(e.settled)
 		for _, m := range e.homes {
 			if !isAmong(m.Proxy, e.settled) {
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -18,8 +18,12 @@
 	// connsPerHome is the number of connections per target that each home proxy
 	// gets if there are too few for every proxy to be a home proxy.
 	connsPerHome = 5
+	// teamConnsPerHome is the same number where a connection serves one team, as there are
+	// more teams than connections.
+	teamConnsPerHome = 20
 	// connsPerSlot bounds the connections to a target, so that requests beyond
-	// its slots and its queue, which it would refuse, wait in the proxy.
+	// its slots and its queue, which it would refuse, wait in the proxy. Where connections
+	// are those of teams, few are in use at once, which is bounded instead.
 	connsPerSlot = 7
 	// targetQueue is the number of requests that a target queues beside those in its slots.
 	targetQueue = 32
@@ -28,20 +32,33 @@
 	reservedShare = 4
 )
 
-// availableConns returns the number of connections that all proxies together
-// may hold to one target of a group.
-func availableConns(settings rosemary.GroupSettings, slots int) int {
-	available := settings.MaxConnections - controlConnections
+// usableConns returns the number of connections to one target of a group that all proxies
+// together may use at once.
+func usableConns(settings rosemary.GroupSettings, slots int) int {
+	usable := settings.MaxConnections - controlConnections
 	if slots > 0 {
-		available = min(available, connsPerSlot*slots)
+		usable = min(usable, connsPerSlot*slots)
 	}
-	return max(available, 1)
+	return max(usable, 1)
+}
+
+// availableConns returns the number of connections that all proxies together may hold to one
+// target of a group.
+func availableConns(settings rosemary.GroupSettings, slots int, teams bool) int {
+	if teams {
+		return max(settings.MaxConnections-controlConnections, 1)
+	}
+	return usableConns(settings, slots)
 }
 
 // homes returns the home proxies of a group, which hold connections to its
 // targets: all proxies if the targets accept enough connections, else some of
 // each availability zone.
-func homes(group string, available int, members []rosemary.Member) []rosemary.Member {
+func homes(group string, available int, teams bool, members []rosemary.Member) []rosemary.Member {
+	perHome := connsPerHome
+	if teams {
+		perHome = teamConnsPerHome
+	}
 	zones := make(map[rosemary.Zone]int)
 	for _, m := range members {
 		zones[m.Zone]++
@@ -49,7 +66,7 @@
 	perZone := available / max(len(zones), 1)
 	for _, count := range zones {
 		if perZone/count < minHomeConns {
-			return rosepeer.WeightedHomes(group, members, max(perZone/connsPerHome, 1))
+			return rosepeer.WeightedHomes(group, members, max(perZone/perHome, 1))
 		}
 	}
 	return members
@@ -72,12 +89,12 @@
 
 // allLimits returns this proxy's limits if every proxy is a home.
 func allLimits(settings rosemary.GroupSettings, slots int, teams bool, self rosemary.Member, homes []rosemary.Member) rosefleet.ConnLimits {
-	limits := connLimits(availableConns(settings, slots), self, homes)
+	limits := connLimits(usableConns(settings, slots), self, homes)
 	if !teams {
 		return limits
 	}
 	inUse := limits.Max
-	limits = connLimits(max(settings.MaxConnections-controlConnections, 1), self, homes)
+	limits = connLimits(availableConns(settings, slots, teams), self, homes)
 	limits.MaxInUse = inUse
 	return limits
 }
@@ -94,7 +111,7 @@
 		inUseRoom = min(room, slots+targetQueue)
 	}
 	reserve.InUse = max((slots+count-1)/count, 1)
-	part.InUse = divide(min(availableConns(settings, slots), inUseRoom-count*reserve.InUse), self, settled)
+	part.InUse = divide(min(usableConns(settings, slots), inUseRoom-count*reserve.InUse), self, settled)
 	reserve.Open, part.Open = reserve.InUse, part.InUse
 	if teams {
 		reserve.Open = max(reserve.InUse, room/reservedShare/count)
@@ -181,7 +198,8 @@
 		return entry.homes
 	}
 	configuration := n.configuration.Load()
-	return homes(group, availableConns(configuration.Groups[group], d.slots[group]), members)
+	teams := configuration.Teams != nil
+	return homes(group, availableConns(configuration.Groups[group], d.slots[group], teams), teams, members)
 }
 
 // homeCount returns the number of home proxies of a group, at least 1.
--- a/internal/rosenode/homes_replay_test.go
+++ b/internal/rosenode/homes_replay_test.go
@@ -185,7 +185,7 @@
 	p.held[0] = 0
 	switch {
 	case f.direct && p.entry.home:
-		p.held[0] = connLimits(availableConns(replaySettings, replaySlots), p.member, p.entry.homes).Max
+		p.held[0] = connLimits(availableConns(replaySettings, replaySlots, false), p.member, p.entry.homes).Max
 	case p.entry.home:
 		p.held[0] = p.entry.connLimits(p.handover.Usable(f.now)).Max
 	}
--- a/internal/rosenode/homes_test.go
+++ b/internal/rosenode/homes_test.go
@@ -41,8 +41,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			settings := rosemary.GroupSettings{Name: "g", MaxConnections: test.connections}
-			available := availableConns(settings, test.slots)
-			groupHomes := homes("g", available, test.members)
+			available := availableConns(settings, test.slots, false)
+			groupHomes := homes("g", available, false, test.members)
 			qt.Check(t, groupHomes, qt.HasLen, test.homes)
 			total := 0
 			for _, m := range groupHomes {
@@ -61,7 +61,7 @@
 			for slots := 2; slots <= 6; slots++ {
 				for _, teams := range []bool{false, true} {
 					settings := rosemary.GroupSettings{Name: "g", MaxConnections: connections}
-					settled := homes("g", availableConns(settings, slots), members)
+					settled := homes("g", availableConns(settings, slots, teams), teams, members)
 					if len(settled) == len(members) {
 						continue
 					}
