rosecap, rosenode: a few hosts in each zone grant the tokens of usage caps

Cause: a home that starts counted its even part of every cap as used up for a window (5 s), and parts of few operations are wasted on teams that come unevenly. A lost lender left nothing to lend for 8 s. Change: three places for hosts in each zone, given to proxies by a record in the store. Each has a fixed share as a token bucket that begins empty, so that a restart needs no pause. Operations take a token from a host of their zone, or else of another one. The lender and the even parts are removed. TestCapLenderReplaced is TestCapHostReplaced, with the same bound: there is no lender, so it cuts a host off. TestCapHoldsAfterTakeover is TestCapHoldsWhileZoneIsCut, TestReplacedLenderLends TestRestartedHostsGrant. Faults put in: a bucket that begins full, tokens that don't end, shares of 1.3 and of one place too few, a rate for a shorter window: each fails a test. Cost: a question for most operations of small teams.

--- a/internal/rosecommand/teams.go
+++ b/internal/rosecommand/teams.go
@@ -89,7 +89,7 @@
 	if usage == nil {
 		return noValue
 	}
-	return fmt.Sprintf("%d of %d left, %d refused", usage.Left, usage.Even, usage.Refused)
+	return fmt.Sprintf("%d tokens, %d waiting, %d refused", usage.Tokens, usage.Waiting, usage.Refused)
 }
 
 func formatCount(count *int) string {
--- a/internal/rosecommand/teams_test.go
+++ b/internal/rosecommand/teams_test.go
@@ -22,7 +22,7 @@
 	age, late, rate, burst, connections := int64(1250), int64(7300), 12.5, 40.0, 3
 	states := []rosenode.TeamsState{
 		{Proxy: "edge-1", Zone: "a", Version: 7, VersionAgeMs: &age, Teams: []rosenode.TeamState{
-			{Name: "blue", Priority: 1, Rate: &rate, Burst: &burst, Keys: []string{"0a1b2c3d", "99887766"}, Sessions: 12, Usage: &rosenode.TeamUsage{Even: 12, Left: 4, Refused: 3}, Connections: &connections},
+			{Name: "blue", Priority: 1, Rate: &rate, Burst: &burst, Keys: []string{"0a1b2c3d", "99887766"}, Sessions: 12, Usage: &rosenode.TeamUsage{Tokens: 4, Waiting: 12, Refused: 3}, Connections: &connections},
 			{Name: "red"},
 		}},
 		{Proxy: "edge-2", Zone: "b", Version: 6, VersionAgeMs: &late, Outdated: true},
--- a/internal/rosenode/caps_test.go
+++ b/internal/rosenode/caps_test.go
@@ -80,10 +80,10 @@
 	c.Check(float64(worst) <= bound, qt.IsTrue, qt.Commentf("%d operations in a window", worst))
 }
 
-// lender returns the proxy that lends the team's shares.
-func (i *capInstallation) lender() *rosestandin.Proxy {
+// host returns a proxy that hosts the team's cap.
+func (i *capInstallation) host() *rosestandin.Proxy {
 	for _, p := range i.Proxies {
-		if p.Running() && p.Node.HoldsLock(rosestandin.GroupName) {
+		if p.Running() && p.Node.HostsCaps() {
 			return p
 		}
 	}
@@ -128,29 +128,29 @@
 	})
 }
 
-// TestCapLenderKilled has the lender die.
-func TestCapLenderKilled(t *testing.T) {
+// TestCapHostKilled has a host die.
+func TestCapHostKilled(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
-		lender := i.lender()
-		c.Assert(lender, qt.IsNotNil)
-		others := i.others(lender)
+		host := i.host()
+		c.Assert(host, qt.IsNotNil)
+		others := i.others(host)
 		i.ask(3*time.Second, 400, others...)
-		lender.Kill()
+		host.Kill()
 		admitted := i.ask(10*time.Second, 400, others...)
-		// Only its own part, and what it hadn't lent, may be missing at first.
+		// Only its own share may be missing.
 		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 10*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.checkBound(c)
 	})
 }
 
-// TestCapLenderCutOff cuts the lender's proxy off together with the store.
-func TestCapLenderCutOff(t *testing.T) {
+// TestCapHostCutOff cuts a host off together with the store.
+func TestCapHostCutOff(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
-		lender := i.lender()
-		c.Assert(lender, qt.IsNotNil)
+		host := i.host()
+		c.Assert(host, qt.IsNotNil)
 		i.ask(3*time.Second, 400, i.Proxies...)
-		i.Isolate(lender.Name, rosestandin.StoreHost)
+		i.Isolate(host.Name, rosestandin.StoreHost)
 		admitted := i.ask(9*time.Second, 400, i.Proxies...)
 		c.Logf("%d admitted", admitted)
 		c.Check(admitted >= 9*capRate/2, qt.IsTrue, qt.Commentf("%d admitted", admitted))
@@ -160,18 +160,17 @@
 	})
 }
 
-// TestCapLenderReplaced cuts the lender's proxy off from all, so that another proxy claims the
-// lock when the lender's lease has ended, and lends all that isn't held once the shares of
-// the cut off proxy must have ended.
-func TestCapLenderReplaced(t *testing.T) {
+// TestCapHostReplaced cuts a host off from all, so that it stops and another proxy takes its
+// place, after which all that the cap allows is granted again.
+func TestCapHostReplaced(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
-		lender := i.lender()
-		c.Assert(lender, qt.IsNotNil)
+		host := i.host()
+		c.Assert(host, qt.IsNotNil)
 		i.ask(3*time.Second, 400, i.Proxies...)
-		i.Isolate(lender.Name)
+		i.Isolate(host.Name)
 		i.ask(30*time.Second, 400, i.Proxies...)
-		c.Check(i.lender(), qt.Not(qt.Equals), lender)
-		admitted := i.ask(5*time.Second, 400, i.others(lender)...)
+		c.Check(host.Node.HostsCaps(), qt.IsFalse)
+		admitted := i.ask(5*time.Second, 400, i.others(host)...)
 		c.Logf("%d admitted", admitted)
 		c.Check(float64(admitted) >= 0.99*5*capRate, qt.IsTrue, qt.Commentf("%d admitted", admitted))
 		i.Heal()
@@ -180,8 +179,7 @@
 	})
 }
 
-// TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it after its
-// shares have ended.
+// TestCapZoneCutOff cuts the zone off that the team's callers use, and heals it.
 func TestCapZoneCutOff(t *testing.T) {
 	withCaps(t, 2, func(c *qt.C, i *capInstallation) {
 		zone := rosestandin.Zones[0]
@@ -213,10 +211,10 @@
 		for _, p := range i.Proxies {
 			i.Start(p)
 		}
-		for end := time.Now().Add(10 * time.Second); i.lender() == nil && time.Now().Before(end); {
+		for end := time.Now().Add(10 * time.Second); i.host() == nil && time.Now().Before(end); {
 			i.ask(50*time.Millisecond, 400, i.Proxies...)
 		}
-		c.Assert(i.lender(), qt.IsNotNil)
+		c.Assert(i.host(), qt.IsNotNil)
 		i.ask(2*time.Second, 400, i.Proxies...)
 		admitted := i.ask(4*time.Second, 400, i.Proxies...)
 		c.Logf("%d admitted", admitted)
--- a/internal/rosenode/teams.go
+++ b/internal/rosenode/teams.go
@@ -95,17 +95,19 @@
 	Keys []string
 	// Sessions is the number of sessions that are open here with the team's keys.
 	Sessions int
-	// Usage is nil if this proxy holds no share of the cap.
+	// Usage is nil if the team has no cap.
 	Usage *TeamUsage
 	// Connections is the number of connections to targets in the team's name, nil if unknown.
 	Connections *int
 }
 
-// TeamUsage is what a proxy holds of a team's usage cap.
+// TeamUsage is what a proxy has of a team's usage cap.
 type TeamUsage struct {
-	// Even is the number of operations that it may begin in any window by itself, Left the
-	// number that it may begin now.
-	Even, Left int
+	// Hosts are the proxies that it asks for tokens, in this order.
+	Hosts []rosemary.ProxyID
+	// Tokens is the number of operations that may begin now, Waiting that of those that wait
+	// for a token.
+	Tokens, Waiting int
 	// Refused is the number of operations that it has refused since its start.
 	Refused uint64
 }
@@ -136,7 +138,7 @@
 	}
 	connections, usage := n.teamConnections(), make(map[string]*TeamUsage)
 	for _, s := range n.TeamShares() {
-		usage[s.Team] = &TeamUsage{Even: s.Even, Left: s.Left, Refused: s.Refused}
+		usage[s.Team] = &TeamUsage{Hosts: s.Hosts, Tokens: s.Tokens, Waiting: s.Waiting, Refused: s.Refused}
 	}
 	for _, t := range configuration.Teams.Teams() {
 		team := TeamState{Name: t.Name, Priority: t.Priority}
--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -27,18 +28,18 @@
 
 func (c *clock) Now() time.Time { return c.now }
 
-// proxy is a simulated holder, and a lender while it has the lock.
+// proxy is a simulated proxy, which is also a host if it has a pool.
 type proxy struct {
-	id          rosemary.ProxyID
-	limiter     *rosecap.Limiter
-	incarnation uint64
+	member  rosemary.Member
+	limiter *rosecap.Limiter
+	pool    *rosecap.Pool
 	// frozenUntil, cutUntil and deadUntil are the ends of its faults.
 	frozenUntil, cutUntil, deadUntil time.Time
-	// exchange is the report without an answer.
-	exchange *exchange
+	// exchanges are the reports without an answer, by host.
+	exchanges map[rosemary.ProxyID]*exchange
 }
 
-// exchange is a report on its way to the lender, or its answer on its way back.
+// exchange is a report on its way to a host, or its answer on its way back.
 type exchange struct {
 	rosecap.PendingReport
 	to       *proxy
@@ -49,17 +50,16 @@
 	grants   []int
 }
 
-// fleet simulates holders and the lender of the teams of one group.
+// fleet simulates proxies of three availability zones, some of which host the usage caps.
 type fleet struct {
 	policy  rosecap.Policy
 	clock   *clock
 	random  *rand.Rand
 	proxies []*proxy
-	teams   *roseteam.Directory
-	// holder has the lock, with lender; nil if nobody has.
-	holder    *proxy
-	lender    *rosecap.Lender
-	claimAt   time.Time
+	// hosts are the proxies with places.
+	hosts     []*proxy
+	layout    rosecap.Layout
+	teams     *roseteam.Directory
 	exchanges int
 	// ran holds the times of the operations admitted, by team.
 	ran            map[string][]time.Time
@@ -70,14 +70,16 @@
 	retries int
 }
 
-// waiter is an operation that waits until then: for tokens, if granted isn't nil, or to come
+// waiter is an operation that waits until then: for tokens, if answered isn't nil, or to come
 // back.
 type waiter struct {
-	proxy   *proxy
-	team    string
-	granted <-chan struct{}
-	until   time.Time
-	retries int
+	proxy     *proxy
+	limiter   *rosecap.Limiter
+	team      string
+	operation *rosecap.Operation
+	answered  <-chan struct{}
+	until     time.Time
+	retries   int
 }
 
 func newFleet(seed uint64, policy rosecap.Policy, teams ...roseteam.Team) *fleet {
@@ -86,23 +88,38 @@
 		clock:  &clock{time.Unix(1000, 0)}, random: rand.New(rand.NewPCG(seed, 1)),
 		ran: make(map[string][]time.Time), asked: make(map[string]int), refused: make(map[string]int),
 	}
+	places := make(map[rosemary.Zone][]rosemary.ProxyID)
 	for n := range 24 {
-		f.proxies = append(f.proxies, &proxy{id: rosemary.ProxyID(fmt.Sprint("p", n))})
+		p := &proxy{member: rosemary.Member{Proxy: rosemary.ProxyID(fmt.Sprint("p", n)), Zone: rosemary.Zone(fmt.Sprint("z", n%zones))}}
+		f.proxies = append(f.proxies, p)
+		if zone := p.member.Zone; len(places[zone]) < rosecap.HostsPerZone {
+			places[zone] = append(places[zone], p.member.Proxy)
+			f.hosts = append(f.hosts, p)
+		}
 	}
+	f.layout = rosecap.NewLayout(places)
 	f.setTeams(teams...)
 	for _, p := range f.proxies {
 		f.restart(p)
 	}
-	f.claim(f.proxies[0])
 	return f
 }
 
 func (f *fleet) setTeams(teams ...roseteam.Team) {
 	f.teams, _ = roseteam.NewDirectory(1, teams)
 	for _, p := range f.proxies {
-		if p.limiter != nil {
-			p.limiter.SetTeams(f.limiterTeams())
-		}
+		f.configure(p)
+	}
+}
+
+// configure gives a proxy the teams in force.
+func (f *fleet) configure(p *proxy) {
+	if p.limiter == nil {
+		return
+	}
+	p.limiter.SetTeams(f.teams, f.layout)
+	if p.pool != nil {
+		p.pool.SetTeams(f.clock.now, f.teams, f.layout)
 	}
 }
 
@@ -114,21 +131,14 @@
 	}
 }
 
+// restart starts another process of a proxy.
 func (f *fleet) restart(p *proxy) {
-	p.incarnation++
-	p.exchange = nil
-	p.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{Policy: f.policy, Clock: f.clock})
-	p.limiter.SetTeams(f.limiterTeams())
-}
-
-func (f *fleet) limiterTeams() rosecap.LimiterTeams {
-	return rosecap.LimiterTeams{
-		Teams: f.teams, Holders: rosecap.Holders{Own: 1, All: slices.Repeat([]int{1}, len(f.proxies))}, CountedSince: f.clock.now, Lender: func(string) string { return "g" },
+	p.exchanges = make(map[rosemary.ProxyID]*exchange)
+	p.limiter = rosecap.NewLimiter(rosecap.LimiterConfig{Self: p.member, Policy: f.policy, Clock: f.clock})
+	if slices.Contains(f.hosts, p) {
+		p.pool = rosecap.NewPool(p.member.Proxy, f.policy)
 	}
-}
-
-func (f *fleet) claim(p *proxy) {
-	f.holder, f.lender = p, rosecap.NewLender(f.policy)
+	f.configure(p)
 }
 
 func (f *fleet) works(p *proxy) bool {
@@ -144,46 +154,52 @@
 // advance runs one step.
 func (f *fleet) advance() {
 	f.clock.now = f.clock.now.Add(step)
-	now := f.clock.now
 	f.wake()
-	if f.lender != nil {
-		f.lender.SetTeams(now, f.teams, slices.Repeat([]int{1}, len(f.proxies)))
-	}
 	for _, p := range f.proxies {
 		if !f.works(p) {
 			continue
 		}
 		f.deliver(p)
-		if p.exchange != nil || now.UnixMilli()%20 != 0 {
-			continue
+		select {
+		case <-p.limiter.Due():
+		default:
+			if f.clock.now.UnixMilli()%100 != 0 {
+				continue
+			}
 		}
-		for _, report := range p.limiter.Pending(func(string) bool { return false }) {
+		for _, report := range p.limiter.Pending(func(host rosemary.ProxyID) bool { return p.exchanges[host] != nil }) {
 			f.exchanges++
-			p.exchange = &exchange{
-				PendingReport: report, to: f.holder, endAt: now.Add(300 * time.Millisecond),
-				arriveAt: now.Add(f.delay()), lost: f.random.IntN(200) == 0,
+			p.exchanges[report.Host] = &exchange{
+				PendingReport: report, to: f.proxy(report.Host), endAt: f.clock.now.Add(60 * time.Millisecond),
+				arriveAt: f.clock.now.Add(f.delay()), lost: f.random.IntN(200) == 0,
 			}
 		}
 	}
 }
 
+func (f *fleet) proxy(id rosemary.ProxyID) *proxy {
+	return f.proxies[slices.IndexFunc(f.proxies, func(p *proxy) bool { return p.member.Proxy == id })]
+}
+
 func (f *fleet) delay() time.Duration { return time.Duration(1+f.random.IntN(6)) * time.Millisecond }
 
-// deliver moves a proxy's report or its answer on.
+// deliver moves a proxy's reports or their answers on.
 func (f *fleet) deliver(p *proxy) {
-	e, now := p.exchange, f.clock.now
-	switch {
-	case e == nil:
-	case !now.Before(e.endAt):
-		p.limiter.Unanswered(e.PendingReport)
-		p.exchange = nil
-	case e.lost || now.Before(e.arriveAt) || e.to == nil || !f.reachable(p, e.to):
-	case e.answered:
-		p.limiter.Receive(e.PendingReport, e.grants)
-		p.exchange = nil
-	case e.to == f.holder && f.works(e.to):
-		e.grants, e.answered, e.arriveAt = f.lender.Answer(now, e.Teams), true, now.Add(f.delay())
-		e.lost = f.random.IntN(200) == 0
+	now := f.clock.now
+	for _, host := range slices.Sorted(maps.Keys(p.exchanges)) {
+		e := p.exchanges[host]
+		switch {
+		case !now.Before(e.endAt):
+			p.limiter.Unanswered(e.PendingReport)
+			delete(p.exchanges, host)
+		case e.lost || now.Before(e.arriveAt) || !f.reachable(p, e.to):
+		case e.answered:
+			p.limiter.Receive(e.PendingReport, e.grants)
+			delete(p.exchanges, host)
+		case f.works(e.to):
+			e.grants, e.answered, e.arriveAt = e.to.pool.Grant(now, e.Teams), true, now.Add(f.delay())
+			e.lost = f.random.IntN(200) == 0
+		}
 	}
 }
 
@@ -201,17 +217,24 @@
 
 // try has an operation admitted, or wait for tokens or its retry.
 func (f *fleet) try(w waiter) {
-	retryAfter, ok, granted := w.proxy.limiter.TryAdmit(w.team)
+	if w.operation == nil {
+		w.limiter = w.proxy.limiter
+		w.operation, w.until = w.limiter.Begin(w.team), f.clock.now.Add(100*time.Millisecond)
+	}
+	answered, ok := w.operation.Try()
 	switch {
 	case ok:
 		f.ran[w.team] = append(f.ran[w.team], f.clock.now)
+		w.operation.End(true)
 		return
-	case granted != nil && w.granted == nil:
-		w.granted, w.until = granted, f.clock.now.Add(60*time.Millisecond)
+	case answered != nil && f.clock.now.Before(w.until):
+		w.answered = answered
 	case w.retries > 0:
-		w.granted, w.until = nil, f.clock.now.Add(retryAfter)
+		w.until = f.clock.now.Add(w.operation.End(false))
+		w.operation, w.answered = nil, nil
 		w.retries--
 	default:
+		w.operation.End(false)
 		f.refused[w.team]++
 		return
 	}
@@ -223,14 +246,18 @@
 	waiting := f.waiting
 	f.waiting = nil
 	for _, w := range waiting {
+		answered := false
 		select {
-		case <-w.granted:
-			w.until = f.clock.now
+		case <-w.answered:
+			answered = true
 		default:
 		}
-		if f.clock.now.Before(w.until) {
+		switch {
+		case w.operation != nil && w.limiter != w.proxy.limiter:
+			// Its process has ended.
+		case !answered && f.clock.now.Before(w.until) || !f.works(w.proxy):
 			f.waiting = append(f.waiting, w)
-		} else if f.works(w.proxy) {
+		default:
 			f.try(w)
 		}
 	}
@@ -301,7 +328,6 @@
 					nextFault = nextFault.Add(f.upTo(20 * time.Second))
 				}
 			}
-			f.moveLock()
 			f.advance()
 			f.offer("hot", demand*usage.Rate, shift)
 		}
@@ -334,74 +360,44 @@
 			}
 		}
 	case 4:
-		p = f.holder
-		if p != nil {
-			f.restart(p)
-			p.deadUntil = until
-		}
+		p = f.hosts[f.random.IntN(len(f.hosts))]
+		f.restart(p)
+		p.deadUntil = until
 	case 5:
 		for _, p := range f.proxies {
 			f.restart(p)
 			p.deadUntil = f.clock.now.Add(time.Second)
 		}
-		f.holder, f.lender = nil, nil
 	}
 }
 
-// moveLock ends the claim of a holder that has been lost for 8 s, or at times that of any,
-// and gives the lock to another proxy after a while.
-func (f *fleet) moveLock() {
-	if f.holder != nil {
-		lost := !f.works(f.holder) || f.cut(f.holder)
-		if lost && f.claimAt.IsZero() {
-			f.claimAt = f.clock.now.Add(8 * time.Second)
-		}
-		if !lost {
-			f.claimAt = time.Time{}
-		}
-		if lost && !f.clock.now.Before(f.claimAt) || f.random.IntN(10000) == 0 {
-			f.holder, f.lender = nil, nil
-			f.claimAt = time.Time{}
-		}
-		return
-	}
-	p := f.proxies[f.random.IntN(len(f.proxies))]
-	if f.works(p) && !f.cut(p) && f.random.IntN(100) == 0 {
-		f.claim(p)
-	}
-}
-
-// TestCapHoldsAfterTakeover cuts off the lender's zone. Once another proxy lends, the team
-// asks for more than its cap on both sides.
-func TestCapHoldsAfterTakeover(t *testing.T) {
+// TestCapHoldsWhileZoneIsCut cuts a zone off, whose hosts go on. The team asks for more than
+// its cap on both sides.
+func TestCapHoldsWhileZoneIsCut(t *testing.T) {
 	c := qt.New(t)
 	usage := roseteam.Cap{Rate: 350, Burst: 350}
 	for seed := range 10 {
 		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
 		f.run(20*time.Second, "hot", 0.6*usage.Rate)
-		for n, p := range f.proxies {
-			if n%zones == 0 {
-				p.cutUntil = f.clock.now.Add(16 * time.Second)
-			}
-		}
+		f.cutZone(0, 16*time.Second)
 		f.run(8*time.Second, "hot", 0.6*usage.Rate)
-		f.claim(f.proxies[1])
-		f.run(500*time.Millisecond, "hot", 0.6*usage.Rate)
 		f.run(12*time.Second, "hot", 5*usage.Rate)
 		c.Check(worstExcess(f.ran["hot"], usage, usual) <= 0, qt.IsTrue, qt.Commentf("seed %d: %v operations above the bound", seed, worstExcess(f.ran["hot"], usage, usual)))
 	}
 }
 
-// TestReplacedLenderLends has the lock handed over while all proxies are in touch: the next
-// lender learns at once what is held, and lends all the rest.
-func TestReplacedLenderLends(t *testing.T) {
+// TestRestartedHostsGrant has all hosts restart at once while all proxies are in touch: they
+// soon grant all that the cap allows.
+func TestRestartedHostsGrant(t *testing.T) {
 	c := qt.New(t)
 	usage := roseteam.Cap{Rate: 350, Burst: 350}
 	for seed := range 10 {
 		f := newFleet(uint64(seed), usual, team("hot", usage.Rate, usage.Burst))
 		f.run(20*time.Second, "hot", 0.1*usage.Rate)
-		f.claim(f.proxies[1])
-		// It has no tokens at first.
+		for _, p := range f.hosts {
+			f.restart(p)
+		}
+		// They have no tokens at first.
 		f.run(3*time.Second, "hot", 0.1*usage.Rate)
 		f.resetCounts()
 		f.run(6*time.Second, "hot", 4.7*usage.Rate)
@@ -422,7 +418,7 @@
 		f.teams, _ = roseteam.NewDirectory(2, []roseteam.Team{lower})
 		for _, n := range f.random.Perm(len(f.proxies)) {
 			f.run(200*time.Millisecond, "hot", 500)
-			f.proxies[n].limiter.SetTeams(f.limiterTeams())
+			f.configure(f.proxies[n])
 		}
 		f.ran["hot"] = nil
 		f.run(15*time.Second, "hot", 500)
@@ -521,3 +517,35 @@
 		f.proxies[0].limiter.Admit("t")
 	}
 }
+
+// TestCapHoldsInRepeatedRestarts has all hosts restart twice a second while the team asks for
+// more than its cap: what earlier processes granted in the window counts.
+func TestCapHoldsInRepeatedRestarts(t *testing.T) {
+	c := qt.New(t)
+	usage := roseteam.Cap{Rate: 350, Burst: 350}
+	f := newFleet(1, usual, team("hot", usage.Rate, usage.Burst))
+	f.run(10*time.Second, "hot", 5*usage.Rate)
+	for range 30 {
+		for _, p := range f.hosts {
+			f.restart(p)
+		}
+		f.run(500*time.Millisecond, "hot", 5*usage.Rate)
+	}
+	c.Check(worstExcess(f.ran["hot"], usage, usual) <= 0, qt.IsTrue, qt.Commentf("%v operations above the bound", worstExcess(f.ran["hot"], usage, usual)))
+}
+
+// TestTokensEnd has a proxy stand still with tokens: they are void when it goes on.
+func TestTokensEnd(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, usual, team("hot", 350, 350))
+	p := f.proxies[0]
+	for range 100 {
+		f.advance()
+		f.ask(p, "hot")
+	}
+	c.Assert(p.limiter.Shares()[0].Tokens > 0, qt.IsTrue)
+	f.clock.now = f.clock.now.Add(300 * time.Millisecond)
+	c.Check(p.limiter.Shares()[0].Tokens, qt.Equals, 0)
+	_, ok := p.limiter.Begin("hot").Try()
+	c.Check(ok, qt.IsFalse)
+}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -8,18 +8,20 @@
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/roseteam"
 )
 
 const (
-	// maxTokenWait bounds the wait of an operation for tokens that the lender is asked for.
-	maxTokenWait = 60 * time.Millisecond
-	// maxAnswerAge is the age of a report from which on its answer isn't used.
-	maxAnswerAge = 350 * time.Millisecond
+	// maxTokenWait bounds the wait of an operation for tokens.
+	maxTokenWait = 100 * time.Millisecond
+	// lostHostTime is for how long a host that hasn't answered isn't asked.
+	lostHostTime = time.Second
 )
 
 // LimiterConfig configures a Limiter.
 type LimiterConfig struct {
+	Self   rosemary.Member
 	Policy Policy
 	// Clock has to advance while the VM is suspended; roseclock.Runtime if nil.
 	Clock roseclock.Clock
@@ -32,118 +34,159 @@
 	// due is signaled when a team is to be reported.
 	due   chan struct{}
 	teams atomic.Pointer[map[string]*usage]
+
+	mu sync.Mutex
+	// silent are the hosts that didn't answer their last report.
+	silent map[rosemary.ProxyID]silentHost
 }
 
 // usage is a team's allowance on this proxy.
 type usage struct {
-	team roseteam.Team
-	// group is the group whose lock's holder is the team's lender.
-	group   string
+	team    roseteam.Team
 	refused atomic.Uint64
 
 	mu        sync.Mutex
 	allowance Allowance
 	signaled  bool
-	// granted is closed and replaced when the lender has answered.
-	granted chan struct{}
+	// answered is closed and replaced when a host has answered, or hasn't in time.
+	answered chan struct{}
+}
+
+// silentHost is a host that didn't answer its last reports.
+type silentHost struct {
+	// missed is the number of these, at the time of the last one.
+	missed int
+	at     time.Time
 }
 
+// lost reports whether the host isn't asked for the time being. A single answer may be late.
+func (h silentHost) lost(now time.Time) bool { return h.missed > 1 && now.Sub(h.at) < lostHostTime }
+
 // NewLimiter returns a limiter that admits everything until SetTeams.
 func NewLimiter(config LimiterConfig) *Limiter {
 	if config.Clock == nil {
 		config.Clock = roseclock.Runtime{}
 	}
-	l := &Limiter{config: config, due: make(chan struct{}, 1)}
+	l := &Limiter{config: config, due: make(chan struct{}, 1), silent: make(map[rosemary.ProxyID]silentHost)}
 	l.teams.Store(&map[string]*usage{})
 	return l
 }
 
-// LimiterTeams are the teams and what depends on them.
-type LimiterTeams struct {
-	// Teams are those of the configuration in force, nil for none.
-	Teams *roseteam.Directory
-	// Holders are the proxies with an even part of the caps.
-	Holders Holders
-	// CountedSince is when others may have begun to count this proxy as a holder, and thus to
-	// leave its part to it.
-	CountedSince time.Time
-	// Lender returns the group whose lock's holder lends the tokens of a team.
-	Lender func(team string) (group string)
-}
-
-// SetTeams sets the teams. What was begun of a team's even part is kept.
-func (l *Limiter) SetTeams(config LimiterTeams) {
+// SetTeams sets the teams, nil for none, and who hosts their caps.
+func (l *Limiter) SetTeams(teams *roseteam.Directory, layout Layout) {
 	former := *l.teams.Load()
 	next := make(map[string]*usage)
-	for _, t := range config.capped() {
-		split := newSplit(*t.Cap, l.config.Policy, config.Holders)
-		u := former[t.Name]
-		if u == nil {
-			u = &usage{allowance: newAllowance(config.CountedSince, split), granted: make(chan struct{})}
+	for _, t := range cappedTeams(teams) {
+		u := &usage{team: t, answered: make(chan struct{})}
+		if known := former[t.Name]; known != nil {
+			u = known
 		}
 		u.mu.Lock()
-		u.team, u.group = t, config.Lender(t.Name)
-		u.allowance.setSplit(config.CountedSince, split)
+		u.team = t
+		u.allowance.setHosts(layout.order(l.config.Self, t, l.config.Policy))
 		u.mu.Unlock()
 		next[t.Name] = u
 	}
 	l.teams.Store(&next)
 }
 
-// capped returns the teams with a cap.
-func (t LimiterTeams) capped() []roseteam.Team {
-	if t.Teams == nil {
+// cappedTeams returns the teams with a cap.
+func cappedTeams(teams *roseteam.Directory) []roseteam.Team {
+	if teams == nil {
 		return nil
 	}
-	return slices.DeleteFunc(t.Teams.Teams(), func(t roseteam.Team) bool { return t.Cap == nil })
+	return slices.DeleteFunc(teams.Teams(), func(t roseteam.Team) bool { return t.Cap == nil })
 }
 
-// Admit counts an operation of a team that is about to be sent to a target. Without ok it
-// would exceed the cap, and may succeed after retryAfter. If the lender is known to have
-// tokens, Admit waits for them for a moment.
+// Admit counts an operation of a team that is about to be sent to a target. It waits a moment
+// for tokens. Without ok the operation would exceed the cap, and may succeed after retryAfter.
 func (l *Limiter) Admit(team string) (retryAfter time.Duration, ok bool) {
-	retryAfter, ok, granted := l.TryAdmit(team)
-	if granted == nil {
-		l.countRefused(team, ok)
-		return retryAfter, ok
+	o := l.Begin(team)
+	if o == nil {
+		return 0, true
 	}
 	timer := time.NewTimer(maxTokenWait)
 	defer timer.Stop()
-	select {
-	case <-granted:
-	case <-timer.C:
+	for {
+		answered, ok := o.Try()
+		if ok || answered == nil {
+			return o.End(ok), ok
+		}
+		select {
+		case <-answered:
+		case <-timer.C:
+			return o.End(false), false
+		}
 	}
-	retryAfter, ok, _ = l.TryAdmit(team)
-	l.countRefused(team, ok)
-	return retryAfter, ok
 }
 
-func (l *Limiter) countRefused(team string, ok bool) {
-	if u := (*l.teams.Load())[team]; u != nil && !ok {
-		u.refused.Add(1)
-	}
+// Operation is an operation that needs a token.
+type Operation struct {
+	limiter *Limiter
+	usage   *usage
+	// waits is set while it counts as waiting.
+	waits bool
+	begun bool
 }
 
-// TryAdmit is Admit without the wait. The channel, if any, is closed when the lender has
-// answered.
-func (l *Limiter) TryAdmit(team string) (retryAfter time.Duration, ok bool, granted <-chan struct{}) {
+// Begin returns an operation of a team, nil if the team has no cap.
+func (l *Limiter) Begin(team string) *Operation {
 	u := (*l.teams.Load())[team]
 	if u == nil {
-		return 0, true, nil
+		return nil
 	}
-	now := l.config.Clock.Now()
+	return &Operation{limiter: l, usage: u}
+}
+
+// Try takes a token. Without one it returns a channel that is closed when it may be tried
+// again, or nil if there will be none soon.
+func (o *Operation) Try() (answered <-chan struct{}, ok bool) {
+	u, now := o.usage, o.limiter.config.Clock.Now()
 	u.mu.Lock()
-	retryAfter, ok = u.allowance.admit(now)
+	if o.begun {
+		ok = u.allowance.take(now)
+	} else {
+		ok = u.allowance.admit(now)
+	}
+	o.begun = true
 	if !ok && u.allowance.expects(now) {
-		granted = u.granted
+		answered = u.answered
+		o.setWaiting(true)
+	} else {
+		o.setWaiting(false)
 	}
 	signal := !u.signaled && u.allowance.due(now)
 	u.signaled = u.signaled || signal
 	u.mu.Unlock()
 	if signal {
-		l.Wake()
+		o.limiter.Wake()
+	}
+	return answered, ok
+}
+
+// setWaiting counts the operation among those that wait, or no longer. The caller holds the
+// lock.
+func (o *Operation) setWaiting(waits bool) {
+	if waits != o.waits {
+		if o.waits = waits; waits {
+			o.usage.allowance.waiting++
+		} else {
+			o.usage.allowance.waiting--
+		}
+	}
+}
+
+// End ends the operation, and returns when a refused caller may come back.
+func (o *Operation) End(ok bool) (retryAfter time.Duration) {
+	u := o.usage
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	o.setWaiting(false)
+	if ok {
+		return 0
 	}
-	return retryAfter, ok, granted
+	u.refused.Add(1)
+	return u.allowance.retryAfter(o.limiter.config.Clock.Now())
 }
 
 // Wake signals Due.
@@ -157,28 +200,31 @@
 // Due is signaled when Pending may have reports.
 func (l *Limiter) Due() <-chan struct{} { return l.due }
 
-// PendingReport is a report to the lender of a group's teams.
+// PendingReport is a report to a host.
 type PendingReport struct {
-	Group  string
+	Host   rosemary.ProxyID
 	Teams  []TeamReport
 	sentAt time.Time
 }
 
-// Pending returns the reports that are to be sent now, one a group, without those of groups
-// that are busy.
-func (l *Limiter) Pending(busy func(group string) bool) []PendingReport {
+// Pending returns the reports that are to be sent now, one a host, without those to hosts that
+// are busy.
+func (l *Limiter) Pending(busy func(host rosemary.ProxyID) bool) []PendingReport {
 	now := l.config.Clock.Now()
-	reports := make(map[string]*PendingReport)
+	reports := make(map[rosemary.ProxyID]*PendingReport)
 	for name, u := range *l.teams.Load() {
 		u.mu.Lock()
-		if !busy(u.group) && u.allowance.due(now) {
-			u.signaled = false
-			r := reports[u.group]
-			if r == nil {
-				r = &PendingReport{Group: u.group, sentAt: now}
-				reports[u.group] = r
+		l.skipLostHosts(now, u)
+		if u.allowance.due(now) {
+			if host := u.allowance.hosts[u.allowance.next]; !busy(host) {
+				u.signaled = false
+				r := reports[host]
+				if r == nil {
+					r = &PendingReport{Host: host, sentAt: now}
+					reports[host] = r
+				}
+				r.Teams = append(r.Teams, u.allowance.report(now, name))
 			}
-			r.Teams = append(r.Teams, u.allowance.report(now, name))
 		}
 		u.mu.Unlock()
 	}
@@ -186,39 +232,67 @@
 	for _, r := range reports {
 		pending = append(pending, *r)
 	}
-	slices.SortFunc(pending, func(a, b PendingReport) int { return strings.Compare(a.Group, b.Group) })
+	slices.SortFunc(pending, func(a, b PendingReport) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	return pending
 }
 
-// Receive applies the lender's answer to a report: a number of tokens for each team.
+// skipLostHosts has a team that needs tokens pass over the hosts that haven't answered
+// recently. The caller holds the team's lock.
+func (l *Limiter) skipLostHosts(now time.Time, u *usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for u.allowance.due(now) && l.silent[u.allowance.hosts[u.allowance.next]].lost(now) {
+		u.allowance.askNext(now)
+		if !u.allowance.expects(now) {
+			// Operations that wait for hosts are told that there are none.
+			u.wake()
+		}
+	}
+}
+
+// wake has the operations that wait try again. The caller holds the lock.
+func (u *usage) wake() {
+	close(u.answered)
+	u.answered = make(chan struct{})
+}
+
+// Receive applies a host's answer to a report: a number of tokens for each team.
 func (l *Limiter) Receive(report PendingReport, grants []int) {
-	now, teams := l.config.Clock.Now(), *l.teams.Load()
-	if now.Sub(report.sentAt) > maxAnswerAge || len(grants) != len(report.Teams) {
-		// This process was suspended: tokens that were granted long ago are void.
+	if len(grants) != len(report.Teams) {
 		l.Unanswered(report)
 		return
 	}
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	delete(l.silent, report.Host)
+	l.mu.Unlock()
+	l.conclude(report, func(i int, a *Allowance) { a.receive(now, report.sentAt, report.Teams[i].Want, grants[i]) })
+}
+
+// Unanswered records that a host didn't answer a report.
+func (l *Limiter) Unanswered(report PendingReport) {
+	now := l.config.Clock.Now()
+	l.mu.Lock()
+	l.silent[report.Host] = silentHost{missed: l.silent[report.Host].missed + 1, at: now}
+	l.mu.Unlock()
+	l.conclude(report, func(_ int, a *Allowance) { a.askNext(now) })
+}
+
+// conclude applies the end of a report to each of its teams.
+func (l *Limiter) conclude(report PendingReport, apply func(i int, a *Allowance)) {
+	now, teams := l.config.Clock.Now(), *l.teams.Load()
 	for i, t := range report.Teams {
 		u := teams[t.Team]
-		if u == nil || u.group != report.Group {
+		if u == nil {
 			continue
 		}
 		u.mu.Lock()
-		u.allowance.receive(now, t.Want, grants[i])
-		close(u.granted)
-		u.granted = make(chan struct{})
+		apply(i, &u.allowance)
+		u.wake()
+		due := u.allowance.due(now)
 		u.mu.Unlock()
-	}
-}
-
-// Unanswered records that a report wasn't answered.
-func (l *Limiter) Unanswered(report PendingReport) {
-	teams := *l.teams.Load()
-	for _, t := range report.Teams {
-		if u := teams[t.Team]; u != nil {
-			u.mu.Lock()
-			u.allowance.unanswered(l.config.Clock.Now())
-			u.mu.Unlock()
+		if due {
+			l.Wake()
 		}
 	}
 }
@@ -227,11 +301,11 @@
 type TeamShare struct {
 	Team string
 	Cap  roseteam.Cap
-	// Group is the group whose lock's holder lends the team's tokens.
-	Group string
-	// Even is the number of operations that this proxy may begin in any window by itself, Left
-	// the number that may begin now.
-	Even, Left int
+	// Hosts are the proxies that this one asks for tokens, in this order.
+	Hosts []rosemary.ProxyID
+	// Tokens is the number of tokens that operations may use now, Waiting the number of
+	// operations that wait for one.
+	Tokens, Waiting int
 	// Refused is the number of operations refused since the start.
 	Refused uint64
 }
@@ -243,8 +317,8 @@
 	for name, u := range *l.teams.Load() {
 		u.mu.Lock()
 		shares = append(shares, TeamShare{
-			Team: name, Cap: *u.team.Cap, Group: u.group, Even: u.allowance.split.even, Left: u.allowance.left(now),
-			Refused: u.refused.Load(),
+			Team: name, Cap: *u.team.Cap, Hosts: u.allowance.hosts, Tokens: u.allowance.tokensLeft(now),
+			Waiting: u.allowance.waiting, Refused: u.refused.Load(),
 		})
 		u.mu.Unlock()
 	}
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -43,7 +43,7 @@
 	// AboutZoneLost tells a peer of the same availability zone that no proxy of another
 	// zone answers the sender.
 	AboutZoneLost = "ZoneLoss"
-	// AboutCaps asks the holder of a lock to lend the sender parts of teams' usage caps.
+	// AboutCaps asks a host of usage caps to grant the sender tokens of teams.
 	AboutCaps = "Caps"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
 	// the sender, can't reach the store.
--- a/pkg/rosesupervisor/epoch.go
+++ b/pkg/rosesupervisor/epoch.go
@@ -121,6 +121,7 @@
 	l.lease, l.renewedAt, l.storeFailing = 0, time.Time{}, false
 	clear(l.held)
 	clear(l.freeSince)
+	l.forgetUsageHostRevisions()
 	l.config.OnRestore()
 	return true
 }
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -152,6 +152,8 @@
 	// holders maps the groups to the proxies that held their locks at the last listing.
 	holders map[string]rosemary.ProxyID
 	members []rosemary.Member
+	// usageHosts are the hosts of usage caps, replaced as a whole.
+	usageHosts map[rosemary.Zone]UsageHosts
 	// freeSince is when the lock of a group was first seen to be free.
 	freeSince map[string]time.Time
 	// notClaimableSince is since when this proxy holds the lock of a group that it may no
--- a/pkg/rosesupervisor/lock_register.go
+++ b/pkg/rosesupervisor/lock_register.go
@@ -131,6 +131,7 @@
 	locks := make(map[string]rosemary.Item)
 	holders := make(map[string]rosemary.ProxyID)
 	var members []rosemary.Member
+	usageHosts := make(map[rosemary.Zone]UsageHosts)
 	settled := false
 	for _, item := range items {
 		key := strings.TrimPrefix(item.Key, prefix)
@@ -146,6 +147,13 @@
 			}
 			continue
 		}
+		if zone, ok := strings.CutPrefix(key, usageHostsPrefix); ok {
+			var record usageHostsRecord
+			if json.Unmarshal(item.Value, &record) == nil {
+				usageHosts[rosemary.Zone(zone)] = UsageHosts{Hosts: record.Hosts, revision: item.Revision}
+			}
+			continue
+		}
 		name, ok := strings.CutPrefix(key, memberPrefix)
 		var member memberRecord
 		if !ok || json.Unmarshal(item.Value, &member) != nil {
@@ -162,6 +170,9 @@
 		l.epoch.recorded = true
 	}
 	l.members = l.epoch.withEarlierMembers(members)
+	for zone, hosts := range usageHosts {
+		l.setUsageHosts(zone, hosts)
+	}
 	if len(locks) > 0 {
 		l.holders = holders
 	}
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -247,8 +247,8 @@
 	// newest primary that the peer knew), ZoneSuspicion (check whether the zone is
 	// cut off), ZoneLoss (no proxy of another zone answers the sender), Targets (send
 	// the registered targets), Store (send what the peer has read from the store),
-	// Caps (grant the sender tokens of the usage caps in Caps, as holder of the lock
-	// of Group) or Facts (send the sampled target statuses).
+	// Caps (grant the sender tokens of the usage caps in Caps, as a host of them) or
+	// Facts (send the sampled target statuses).
 	About string `cbor:"About"`
 
 	// AgeMs is the age of the list of targets that the sender has; a Question about
