rosecaller, rosecap: operations that weren't sent give their tokens back

Cause: in a zone that is cut off an operation is passed on to up to six homes that have no primary for it, each of which took a token of its team. Change: a token goes back if its operation was refused before it had a target. A host without a link is passed over for this time only, and operations wait up to 0.4 s before any host has answered.

--- a/internal/rosenode/caps.go
+++ b/internal/rosenode/caps.go
@@ -166,7 +166,8 @@
 		return true
 	}
 	if !slices.Contains(c.node.mesh.LinkedPeers(), pending.Host) {
-		c.conclude(pending, nil)
+		c.free(pending.Host)
+		c.limiter.Unreachable(pending)
 		return true
 	}
 	return false
@@ -186,9 +187,7 @@
 
 // conclude applies the answer to a report, nil for none.
 func (c *usageCaps) conclude(pending rosecap.PendingReport, grants []int) {
-	c.mu.Lock()
-	delete(c.busy, pending.Host)
-	c.mu.Unlock()
+	c.free(pending.Host)
 	if grants == nil {
 		c.limiter.Unanswered(pending)
 		return
@@ -196,6 +195,13 @@
 	c.limiter.Receive(pending, grants)
 }
 
+// free allows the next report to a host.
+func (c *usageCaps) free(host rosemary.ProxyID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.busy, host)
+}
+
 // grant answers a report if this proxy is a host.
 func (c *usageCaps) grant(report []rosecap.TeamReport) (grants []int, hosts bool) {
 	now := c.node.config.Clock.Now()
--- a/pkg/rosecaller/local_executor.go
+++ b/pkg/rosecaller/local_executor.go
@@ -23,8 +23,11 @@
 // UsageLimiter keeps the operations of teams within their usage caps.
 type UsageLimiter interface {
 	// Admit counts an operation of a team that begins now and is about to be sent to a
-	// target. Without ok it would exceed the cap, and may succeed after retryAfter.
-	Admit(team string) (retryAfter time.Duration, ok bool)
+	// target before a time. Without ok it would exceed the cap, and may succeed after
+	// retryAfter.
+	Admit(team string) (before time.Time, retryAfter time.Duration, ok bool)
+	// Return takes back what Admit has counted, as the operation wasn't sent to a target.
+	Return(team string, before time.Time)
 }
 
 // LocalExecutor runs tasks on this proxy's own connections to targets.
@@ -39,44 +42,60 @@
 
 // Run runs a statement outside a transaction.
 func (e *LocalExecutor) Run(ctx context.Context, task Task) Result {
-	if refusal := e.overCap(task); refusal != nil {
+	before, refusal := e.admit(task)
+	if refusal != nil {
 		return refusedResult(task, refusal)
 	}
 	e.config.RetryBudget.Deposit()
 	j := &job{executor: e, task: task}
-	return j.result(j.runAutocommit(ctx, task.Statement))
+	result := j.result(j.runAutocommit(ctx, task.Statement))
+	e.returnUnused(task, result, before)
+	return result
 }
 
 // Begin opens a transaction with its first statement.
 func (e *LocalExecutor) Begin(ctx context.Context, task Task) (Transaction, Result) {
-	if refusal := e.overCap(task); refusal != nil {
+	before, refusal := e.admit(task)
+	if refusal != nil {
 		return nil, refusedResult(task, refusal)
 	}
 	e.config.RetryBudget.Deposit()
 	j := &job{executor: e, task: task, transactionState: rosemary.TransactionOpen}
 	result := j.result(j.runFirstStatement(ctx, task.Statement))
+	e.returnUnused(task, result, before)
 	if !result.Open {
 		return nil, result
 	}
 	return j, result
 }
 
-// overCap counts an operation of a team, and returns the refusal if it exceeds the team's
-// usage cap.
-func (e *LocalExecutor) overCap(task Task) *rosemary.Refusal {
-	if e.config.Usage == nil || task.Team == "" {
-		return nil
+// capped reports whether a task's operation counts towards a usage cap.
+func (e *LocalExecutor) capped(task Task) bool { return e.config.Usage != nil && task.Team != "" }
+
+// admit counts an operation of a team, and returns the refusal if it exceeds the team's usage
+// cap.
+func (e *LocalExecutor) admit(task Task) (before time.Time, refusal *rosemary.Refusal) {
+	if !e.capped(task) {
+		return time.Time{}, nil
 	}
-	retryAfter, ok := e.config.Usage.Admit(task.Team)
+	before, retryAfter, ok := e.config.Usage.Admit(task.Team)
 	if ok {
-		return nil
+		return before, nil
 	}
-	return &rosemary.Refusal{
+	return time.Time{}, &rosemary.Refusal{
 		Kind: rosemary.KindOverCap, Outcome: rosemary.OutcomeNotRun, Message: "the team has used up its usage cap",
 		Remedy: "retry later, or ask the operators for a higher cap", RetryAfter: max(retryAfter, time.Millisecond),
 	}
 }
 
+// returnUnused takes back what was counted for an operation that was refused before it got to
+// a target, as it may be passed on to other proxies, each of which counts it.
+func (e *LocalExecutor) returnUnused(task Task, result Result, before time.Time) {
+	if e.capped(task) && result.Refusal != nil && result.Target == "" {
+		e.config.Usage.Return(task.Team, before)
+	}
+}
+
 // refusedResult is the result of a task that was not begun.
 func refusedResult(task Task, refusal *rosemary.Refusal) Result {
 	return Result{Refusal: refusal, MinPosition: task.MinPosition, MinPositionUnknown: task.MinPositionUnknown}
--- a/pkg/rosecap/allowance.go
+++ b/pkg/rosecap/allowance.go
@@ -60,19 +60,18 @@
 	}
 }
 
-// admit takes a token. Without ok there is none, and the operation waits if hosts are asked.
-func (a *Allowance) admit(now time.Time) (ok bool) {
-	a.draw(now, 1)
-	return a.take(now)
-}
-
-// take takes a token if there is one.
-func (a *Allowance) take(now time.Time) (ok bool) {
+// take takes a token if there is one, and returns until when it may be used.
+func (a *Allowance) take(now time.Time) (before time.Time, ok bool) {
 	if a.tokensLeft(now) == 0 {
-		return false
+		return time.Time{}, false
 	}
 	a.tokens[0].count--
-	return true
+	return a.tokens[0].until, true
+}
+
+// giveBack puts a token back that wasn't used.
+func (a *Allowance) giveBack(until time.Time) {
+	a.tokens = slices.Insert(a.tokens, 0, grant{1, until})
 }
 
 // tokensLeft drops tokens that are void, and returns the number of the others.
--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -549,3 +549,43 @@
 	_, ok := p.limiter.Begin("hot").Try()
 	c.Check(ok, qt.IsFalse)
 }
+
+// TestReturnedToken gives a token back, which another operation may use until it ends.
+func TestReturnedToken(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, usual, team("hot", 350, 350))
+	limiter := f.proxies[0].limiter
+	until := f.clock.now.Add(100 * time.Millisecond)
+	limiter.Return("hot", until)
+	before, _, ok := limiter.Admit("hot")
+	c.Check(ok, qt.IsTrue)
+	c.Check(before, qt.Equals, until)
+	limiter.Return("hot", until)
+	f.clock.now = until
+	c.Check(limiter.Shares()[0].Tokens, qt.Equals, 0)
+}
+
+// TestUnlinkedHostIsAskedSoon has a proxy start that isn't linked to its hosts yet: they are
+// asked again at once, unlike hosts that don't answer.
+func TestUnlinkedHostIsAskedSoon(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1, usual, team("hot", 350, 350))
+	limiter := f.proxies[0].limiter
+	none := func(rosemary.ProxyID) bool { return false }
+	operation := limiter.Begin("hot")
+	for range 20 {
+		answered, ok := operation.Try()
+		c.Assert(ok, qt.IsFalse)
+		c.Assert(answered, qt.IsNotNil)
+		for _, report := range limiter.Pending(none) {
+			limiter.Unreachable(report)
+		}
+		f.clock.now = f.clock.now.Add(20 * time.Millisecond)
+	}
+	f.clock.now = f.clock.now.Add(100 * time.Millisecond)
+	reports := limiter.Pending(none)
+	c.Assert(reports, qt.HasLen, 1)
+	limiter.Receive(reports[0], []int{1})
+	_, ok := operation.Try()
+	c.Check(ok, qt.IsTrue)
+}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -15,6 +15,8 @@
 const (
 	// maxTokenWait bounds the wait of an operation for tokens.
 	maxTokenWait = 100 * time.Millisecond
+	// startTokenWait is the same before any host has answered, as links are being opened.
+	startTokenWait = 400 * time.Millisecond
 	// lostHostTime is for how long a host that hasn't answered isn't asked.
 	lostHostTime = time.Second
 )
@@ -34,6 +36,8 @@
 	// due is signaled when a team is to be reported.
 	due   chan struct{}
 	teams atomic.Pointer[map[string]*usage]
+	// answered is set once a host has answered.
+	answered atomic.Bool
 
 	mu sync.Mutex
 	// silent are the hosts that didn't answer their last report.
@@ -98,32 +102,53 @@
 	return slices.DeleteFunc(teams.Teams(), func(t roseteam.Team) bool { return t.Cap == nil })
 }
 
-// Admit counts an operation of a team that is about to be sent to a target. It waits a moment
-// for tokens. Without ok the operation would exceed the cap, and may succeed after retryAfter.
-func (l *Limiter) Admit(team string) (retryAfter time.Duration, ok bool) {
+// Admit counts an operation of a team that is about to be sent to a target before a time. It
+// waits a moment for tokens. Without ok the operation would exceed the cap, and may succeed
+// after retryAfter.
+func (l *Limiter) Admit(team string) (before time.Time, retryAfter time.Duration, ok bool) {
 	o := l.Begin(team)
 	if o == nil {
-		return 0, true
+		return time.Time{}, 0, true
 	}
-	timer := time.NewTimer(maxTokenWait)
+	wait := maxTokenWait
+	if !l.answered.Load() {
+		wait = startTokenWait
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		answered, ok := o.Try()
 		if ok || answered == nil {
-			return o.End(ok), ok
+			return o.before, o.End(ok), ok
 		}
 		select {
 		case <-answered:
 		case <-timer.C:
-			return o.End(false), false
+			return time.Time{}, o.End(false), false
 		}
 	}
 }
 
+// Return takes back the token of an operation that wasn't sent to a target.
+func (l *Limiter) Return(team string, before time.Time) {
+	u := (*l.teams.Load())[team]
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.allowance.giveBack(before)
+	if u.allowance.waiting > 0 {
+		u.wake()
+	}
+}
+
 // Operation is an operation that needs a token.
 type Operation struct {
 	limiter *Limiter
 	usage   *usage
+	// before is until when its token may be used.
+	before time.Time
 	// waits is set while it counts as waiting.
 	waits bool
 	begun bool
@@ -143,13 +168,12 @@
 func (o *Operation) Try() (answered <-chan struct{}, ok bool) {
 	u, now := o.usage, o.limiter.config.Clock.Now()
 	u.mu.Lock()
-	if o.begun {
-		ok = u.allowance.take(now)
-	} else {
-		ok = u.allowance.admit(now)
+	if !o.begun {
+		u.allowance.draw(now, 1)
 	}
 	o.begun = true
-	if !ok && u.allowance.expects(now) {
+	o.before, ok = u.allowance.take(now)
+	if !ok && (u.allowance.expects(now) || !o.limiter.answered.Load()) {
 		answered = u.answered
 		o.setWaiting(true)
 	} else {
@@ -263,19 +287,26 @@
 		return
 	}
 	now := l.config.Clock.Now()
+	l.answered.Store(true)
 	l.mu.Lock()
 	delete(l.silent, report.Host)
 	l.mu.Unlock()
 	l.conclude(report, func(i int, a *Allowance) { a.receive(now, report.sentAt, report.Teams[i].Want, grants[i]) })
 }
 
+// Unreachable records that a report couldn't be sent to a host.
+func (l *Limiter) Unreachable(report PendingReport) {
+	now := l.config.Clock.Now()
+	l.conclude(report, func(_ int, a *Allowance) { a.askNext(now) })
+}
+
 // Unanswered records that a host didn't answer a report.
 func (l *Limiter) Unanswered(report PendingReport) {
 	now := l.config.Clock.Now()
 	l.mu.Lock()
 	l.silent[report.Host] = silentHost{missed: l.silent[report.Host].missed + 1, at: now}
 	l.mu.Unlock()
-	l.conclude(report, func(_ int, a *Allowance) { a.askNext(now) })
+	l.Unreachable(report)
 }
 
 // conclude applies the end of a report to each of its teams.
