rosenode: a zone stays cut off until another one answers

Cause: a proxy in a zone that is cut off begins to serve further groups, whose targets count as answering until they don't, so it took the zone for connected again for 0.1 to 0.5 s, said that it was ready, and gave up its places. Change: a cut ends when a proxy of another zone answers, or once targets have contradicted it for a second.

--- a/internal/rosenode/partition.go
+++ b/internal/rosenode/partition.go
@@ -30,6 +30,10 @@
 	zoneSuspicionInterval = time.Second
 	// zoneAgreementAge is how long such a notice of another proxy counts.
 	zoneAgreementAge = 800 * time.Millisecond
+	// cutEndTime is how long targets have to contradict a cut before it counts as over though
+	// no proxy of another zone answers: those of a group that is newly served count as
+	// answering until they are known not to.
+	cutEndTime = time.Second
 	// maxPartitionQueries is the number of proxies of other zones that are asked.
 	maxPartitionQueries = 6
 )
@@ -63,6 +67,30 @@
 	return e.targets > 1 && float64(e.answering) <= maxZoneTargetShare*float64(e.targets)
 }
 
+// zoneCut is whether a proxy takes its availability zone to be cut off. It answers a zone that
+// stays cut off while its proxies begin to serve further groups: one health check that succeeds
+// brings all clients of the zone back. The zero value isn't cut off.
+type zoneCut struct {
+	cut bool
+	// contradictedAt is since when the evidence contradicts the cut, zero if it doesn't.
+	contradictedAt time.Time
+}
+
+// withEvidence returns the state after evidence was collected.
+func (z zoneCut) withEvidence(evidence zoneEvidence, now time.Time) zoneCut {
+	switch {
+	case evidence.partitioned():
+		return zoneCut{cut: true}
+	case !z.cut || !evidence.otherZonesLost:
+		return zoneCut{}
+	case z.contradictedAt.IsZero():
+		z.contradictedAt = now
+	case now.Sub(z.contradictedAt) >= cutEndTime:
+		return zoneCut{}
+	}
+	return z
+}
+
 // watchZonePartition detects whether this proxy's availability zone is cut off
 // from the others. When a target is lost here or by a proxy of this zone, all are sampled
 // at once, and the other zones' proxies asked meanwhile.
@@ -70,6 +98,7 @@
 	lostBefore := 0
 	var lostAt, notifiedAt, suspectedAt time.Time
 	var evidence zoneEvidence
+	var zone zoneCut
 	for roseclock.Sleep(ctx, partitionCheckInterval) {
 		evidence.targets, evidence.answering = n.countTargets()
 		lost := evidence.targets - evidence.answering
@@ -97,7 +126,8 @@
 		}
 		evidence.targets, evidence.answering = n.countTargets()
 		evidence.agreeing = n.config.Clock.Now().Sub(time.Unix(0, n.zoneLostAt.Load())) <= zoneAgreementAge
-		partitioned := evidence.partitioned()
+		zone = zone.withEvidence(evidence, n.config.Clock.Now())
+		partitioned := zone.cut
 		if n.zonePartitioned.Swap(partitioned) == partitioned {
 			continue
 		}
