rosecap: hosts that stalled are asked again after 0.2 s

Change: such a host isn't asked for 0.2 s, and a host that had too few tokens is passed over for 0.1 s, so that a zone with more callers goes to the others directly.

--- a/pkg/rosecap/allowance.go
+++ b/pkg/rosecap/allowance.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// skipTime is for how long hosts that had too few tokens are passed over.
+	skipTime = 100 * time.Millisecond
 	// shortTime is for how long no host is asked after all of them had too few tokens.
 	shortTime = 100 * time.Millisecond
 	// maxWanted bounds the tokens that are asked for at once.
@@ -32,6 +34,8 @@
 	// hosts are those to ask, in their order, and next is the index of the next one.
 	hosts []rosemary.ProxyID
 	next  int
+	// skippedAt is when the last host was passed over.
+	skippedAt time.Time
 	// tokens are those that were granted and not used, in the order of their grants.
 	tokens []grant
 	// drawn is the number of tokens used or wanted, with weights that decay, as of drawnAt.
@@ -74,6 +78,14 @@
 	a.tokens = slices.Insert(a.tokens, 0, grant{1, until})
 }
 
+// nextHost returns the host to ask next: the first one again after a while.
+func (a *Allowance) nextHost(now time.Time) rosemary.ProxyID {
+	if now.Sub(a.skippedAt) >= skipTime {
+		a.next = 0
+	}
+	return a.hosts[a.next]
+}
+
 // tokensLeft drops tokens that are void, and returns the number of the others.
 func (a *Allowance) tokensLeft(now time.Time) int {
 	left := 0
@@ -129,12 +141,12 @@
 		return
 	}
 	// What was asked for ahead isn't missed yet.
-	a.asking, a.next = false, 0
+	a.asking = false
 }
 
 // askNext goes on to the next host, or pauses after the last one.
 func (a *Allowance) askNext(now time.Time) {
-	a.asking = false
+	a.asking, a.skippedAt = false, now
 	a.next++
 	if a.next >= len(a.hosts) {
 		a.next, a.shortUntil = 0, now.Add(shortTime)
--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -589,3 +589,30 @@
 	_, ok := operation.Try()
 	c.Check(ok, qt.IsTrue)
 }
+
+// TestStalledHostsAreAskedAgain has all hosts stand still for 500 ms while they are often
+// asked: half a second later nothing is refused any more.
+func TestStalledHostsAreAskedAgain(t *testing.T) {
+	c := qt.New(t)
+	var teams []roseteam.Team
+	for n := range 30 {
+		teams = append(teams, team(fmt.Sprint("t", n), 20, 20))
+	}
+	f := newFleet(1, usual, teams...)
+	run := func(length time.Duration) {
+		for end := f.clock.now.Add(length); f.clock.now.Before(end); {
+			f.advance()
+			for _, t := range teams {
+				f.offerEvenly(t.Name, 10)
+			}
+		}
+	}
+	run(10 * time.Second)
+	for _, p := range f.hosts {
+		p.frozenUntil = f.clock.now.Add(500 * time.Millisecond)
+	}
+	run(900 * time.Millisecond)
+	f.resetCounts()
+	run(500 * time.Millisecond)
+	c.Check(f.lost() <= 2, qt.IsTrue, qt.Commentf("%d lost", f.lost()))
+}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -17,8 +17,9 @@
 	maxTokenWait = 100 * time.Millisecond
 	// startTokenWait is the same before any host has answered, as links are being opened.
 	startTokenWait = 400 * time.Millisecond
-	// lostHostTime is for how long a host that hasn't answered isn't asked.
-	lostHostTime = time.Second
+	// lostHostTime is for how long a host that hasn't answered isn't asked. It may just have
+	// no processor time left, or a new configuration to read.
+	lostHostTime = 200 * time.Millisecond
 )
 
 // LimiterConfig configures a Limiter.
@@ -240,7 +241,7 @@
 		u.mu.Lock()
 		l.skipLostHosts(now, u)
 		if u.allowance.due(now) {
-			if host := u.allowance.hosts[u.allowance.next]; !busy(host) {
+			if host := u.allowance.nextHost(now); !busy(host) {
 				u.signaled = false
 				r := reports[host]
 				if r == nil {
@@ -265,7 +266,7 @@
 func (l *Limiter) skipLostHosts(now time.Time, u *usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for u.allowance.due(now) && l.silent[u.allowance.hosts[u.allowance.next]].lost(now) {
+	for u.allowance.due(now) && l.silent[u.allowance.nextHost(now)].lost(now) {
 		u.allowance.askNext(now)
 		if !u.allowance.expects(now) {
 			// Operations that wait for hosts are told that there are none.
