rosecap: hosts that don't answer are asked ever less often

Cause: while a third of the proxies is cut off, operations waited 60 ms for a lost host every 0.2 s. Change: the time for which a host isn't asked doubles, from 0.2 s to 2 s. Test: TestCutOffHostsAreSeldomAsked.

--- a/pkg/rosecap/cap_test.go
+++ b/pkg/rosecap/cap_test.go
@@ -616,3 +616,30 @@
 	run(500 * time.Millisecond)
 	c.Check(f.lost() <= 2, qt.IsTrue, qt.Commentf("%d lost", f.lost()))
 }
+
+// TestCutOffHostsAreSeldomAsked cuts a third of the hosts off for 10 s: a proxy asks each of
+// them ever less often, as operations wait for the answer.
+func TestCutOffHostsAreSeldomAsked(t *testing.T) {
+	c := qt.New(t)
+	var teams []roseteam.Team
+	for n := range 30 {
+		teams = append(teams, team(fmt.Sprint("t", n), 20, 20))
+	}
+	f := newFleet(1, usual, teams...)
+	f.cutZone(0, 10*time.Second)
+	p := f.proxies[1]
+	asked := 0
+	for end := f.clock.now.Add(10 * time.Second); f.clock.now.Before(end); {
+		f.advance()
+		for _, e := range p.exchanges {
+			if f.cut(e.to) && e.endAt.Equal(f.clock.now.Add(60*time.Millisecond)) {
+				asked++
+			}
+		}
+		for _, t := range teams {
+			f.offerEvenly(t.Name, 20)
+		}
+	}
+	// Three hosts at most, at 0.2, 0.4, 0.8, 1.6 s and then each 2 s, after two questions each.
+	c.Check(asked <= 3*(2+4+4), qt.IsTrue, qt.Commentf("%d questions to hosts that are cut off", asked))
+}
--- a/pkg/rosecap/limiter.go
+++ b/pkg/rosecap/limiter.go
@@ -17,9 +17,11 @@
 	maxTokenWait = 100 * time.Millisecond
 	// startTokenWait is the same before any host has answered, as links are being opened.
 	startTokenWait = 400 * time.Millisecond
-	// lostHostTime is for how long a host that hasn't answered isn't asked. It may just have
-	// no processor time left, or a new configuration to read.
-	lostHostTime = 200 * time.Millisecond
+	// minLostTime and maxLostTime bound for how long a host that hasn't answered isn't asked.
+	// It may just have no processor time left, or a new configuration to read, so the time
+	// begins short, and doubles with each further question without an answer.
+	minLostTime = 200 * time.Millisecond
+	maxLostTime = 2 * time.Second
 )
 
 // LimiterConfig configures a Limiter.
@@ -65,7 +67,19 @@
 }
 
 // lost reports whether the host isn't asked for the time being. A single answer may be late.
-func (h silentHost) lost(now time.Time) bool { return h.missed > 1 && now.Sub(h.at) < lostHostTime }
+func (h silentHost) lost(now time.Time) bool {
+	if h.missed < 2 {
+		return false
+	}
+	lostTime := minLostTime
+	for range h.missed - 2 {
+		if lostTime *= 2; lostTime >= maxLostTime {
+			lostTime = maxLostTime
+			break
+		}
+	}
+	return now.Sub(h.at) < lostTime
+}
 
 // NewLimiter returns a limiter that admits everything until SetTeams.
 func NewLimiter(config LimiterConfig) *Limiter {
