--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -20,7 +20,7 @@
 	connsPerHome = 5
 	// teamConnsPerHome is the same number where a connection serves one team, as there are
 	// more teams than connections.
-	teamConnsPerHome = 20
+	teamConnsPerHome = 10
 	// connsPerSlot bounds the connections to a target, so that requests beyond
 	// its slots and its queue, which it would refuse, wait in the proxy. Where connections
 	// are those of teams, few are in use at once, which is bounded instead.
