--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -96,11 +96,11 @@
 		second := g.leads()
 		holder.cloud.setCut(true)
 		record("%s is cut off from the promotion API", holder.name)
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		second.setDark(true)
 		time.Sleep(2500 * time.Millisecond)
 		second.setDark(false)
-		time.Sleep(9300 * time.Millisecond)
+		time.Sleep(9450 * time.Millisecond)
 		holder.cloud.setCut(false)
 		record("the cut of %s has healed", holder.name)
 	}
