review: a stray entry in the store keeps a lost primary from being replaced

Without a folder of its own. An entry of another writer without zone, slots and role counts as a replica that can't be fenced.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -329,3 +329,23 @@
 	g.busy = busy
 	record("replicas answer STATUS with BUSY: %v", busy)
 }
+
+// strayEntry: an entry of another writer, with fields missing, names no backend to use. The
+// primary is lost for good before the traffic starts.
+func strayEntry() {
+	i := install(0, 5000, 3)
+	if trouble() != "0" {
+		i.store.putJSON("servers/i-x9", map[string]any{"service": groupName, "address": freeAddresses(1)[0], "state": "ready"})
+		record("an entry of another writer, without zone, version, slots, role and seq")
+	}
+	time.Sleep(4 * time.Second)
+	i.group.leads().crash()
+	time.Sleep(time.Until(started.Add(10 * time.Second)))
+	record("traffic starts")
+	w := i.write(2, 100*time.Millisecond)
+	time.Sleep(40 * time.Second)
+	close(w.stop)
+	time.Sleep(time.Second)
+	served := len(w.acknowledged())
+	verdict(served == 0, "%d requests were served in the 40 s of traffic, %s leads and is %s; answers: %s", served, i.group.leads().id, i.group.leads().state, w.summary())
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -118,6 +118,7 @@
 	// Those without a folder of their own.
 	"half-line":   halfLine,
 	"stuck-fence": stuckFence,
+	"stray-entry": strayEntry,
 	"revoked":     revoked,
 }
 
