review: an added process panics until the stale list has it

A process that registers and then reads a stale list without itself, with one other member of its zone and over 12 members in all, panics in newReading.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # couldn't run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/review-standin || { echo "run review/build.sh first"; exit 2; }
-exec target/review-standin shapes review/5/record.txt
+exec target/review-standin small-zone review/5/record.txt
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -353,3 +353,45 @@
 	served := len(w.acknowledged())
 	verdict(served == 0, "%d requests were served in the 40 s of traffic, %s leads and is %s; answers: %s", served, i.group.leads().id, i.group.leads().state, w.summary())
 }
+
+// smallZone: a machine is added to each of two zones that have one machine each. The stale list
+// that its process reads at its start lacks itself.
+func smallZone() {
+	staleness = 5 * time.Second
+	i := install(0, 5000, 14)
+	w := i.write(1, 200*time.Millisecond)
+	time.Sleep(12 * time.Second)
+	var added []*proxy
+	addedAt := time.Now()
+	if trouble() != "0" {
+		for range 2 {
+			p := i.addMachine()
+			p.setFirstStart(false)
+			p.start()
+			added = append(added, p)
+		}
+	}
+	time.Sleep(20 * time.Second)
+	close(w.stop)
+	record("writes: %s", w.summary())
+	machines, note := 0, ""
+	for _, p := range i.proxies {
+		p.endedMu.Lock()
+		count := 0
+		for _, at := range p.ended {
+			if at.After(addedAt.Add(time.Second)) {
+				count++
+			}
+		}
+		if len(p.ended) > 0 {
+			note += fmt.Sprintf("; %s %d times, %d of them later than 1 s after it was added", p.name, len(p.ended), count)
+		}
+		p.endedMu.Unlock()
+		if count >= 3 {
+			machines++
+		}
+	}
+	broken := machines >= 2 && 10*machines >= len(i.proxies)
+	verdict(broken, "on %d of %d machines the process ended by itself three times or more%s; %d added; writes: %s",
+		machines, len(i.proxies), note, len(added), w.summary())
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -119,6 +119,7 @@
 	"half-line":   halfLine,
 	"stuck-fence": stuckFence,
 	"stray-entry": strayEntry,
+	"small-zone":  smallZone,
 	"revoked":     revoked,
 }
 
@@ -129,10 +130,32 @@
 	group   *group
 	cloud   *cloud
 	proxies []*proxy
+
+	storeAddress, cloudAddress string
+}
+
+// addMachine adds a machine, whose process is still to be started.
+func (i *installation) addMachine() *proxy {
+	n := len(i.proxies) + 1
+	p := newProxy(folder, fmt.Sprintf("edge-%d", n), zoneOf(n), i.storeAddress, i.cloudAddress)
+	i.proxies = append(i.proxies, p)
+	return p
 }
 
 const database = "ledger-db"
 
+// staleness is the age of the store's stale reads.
+var staleness time.Duration
+
+// zoneOf returns the zone of the nth machine: up to twelve are in three zones, further ones in a
+// fourth and a fifth by turns.
+func zoneOf(n int) string {
+	if n > 12 {
+		return fmt.Sprintf("zone-%d", (n-1)%2+4)
+	}
+	return fmt.Sprintf("zone-%d", (n-1)%3+1)
+}
+
 // route is a route of the configuration.
 func route(host, kind string, staleness int) map[string]any {
 	return map[string]any{
@@ -144,6 +167,7 @@
 // install starts a deployment with a process in each of the zones.
 func install(syncReplicas, txIdleMs, processes int) *installation {
 	i := &installation{store: newStore()}
+	i.store.staleness = staleness
 	i.store.putJSON("op/config", map[string]any{
 		"version":  1,
 		"routes":   []any{route(database, "primary", 0), route("reports-db", "bounded_staleness", 1500)},
@@ -155,9 +179,9 @@
 	storeListener, cloudListener := listen(), listen()
 	go i.store.serve(storeListener)
 	go i.cloud.serve(cloudListener)
-	for n := 1; n <= processes; n++ {
-		p := newProxy(folder, fmt.Sprintf("edge-%d", n), fmt.Sprintf("zone-%d", (n-1)%3+1), storeListener.Addr().String(), cloudListener.Addr().String())
-		i.proxies = append(i.proxies, p)
+	i.storeAddress, i.cloudAddress = storeListener.Addr().String(), cloudListener.Addr().String()
+	for range processes {
+		i.addMachine()
 	}
 	for _, p := range i.proxies {
 		p.start()
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,11 @@
 	store, cloud         *link
 	command              *exec.Cmd
 	done                 chan struct{}
+	// ended are the times at which the process ended by itself, after which it is started again.
+	endedMu sync.Mutex
+	ended   []time.Time
+	// ending is set while the process is being stopped.
+	ending bool
 }
 
 // proxies are those that were started, which are ended with the case.
@@ -91,39 +97,68 @@
 	if err := c.Start(); err != nil {
 		fail("can't start %s: %v", program, err)
 	}
-	p.command, p.done = c, make(chan struct{})
+	done := make(chan struct{})
+	p.command, p.done = c, done
 	go func() {
 		_ = c.Wait()
-		close(p.done)
+		close(done)
+		p.endedMu.Lock()
+		defer p.endedMu.Unlock()
+		if p.ending {
+			return
+		}
+		p.ended = append(p.ended, time.Now())
+		record("process %s ended by itself: %v", p.name, c.ProcessState)
+		time.AfterFunc(restartDelay, p.start)
 	}()
 	record("process %s started, zone %s, front %s", p.name, p.zone, p.front)
 }
 
 // restart kills the process and starts it again, with the settings of a system that runs.
 func (p *proxy) restart() {
+	p.setEnding(true)
 	_ = p.command.Process.Kill()
 	<-p.done
 	record("process %s was killed", p.name)
+	p.setFirstStart(false)
+	p.setEnding(false)
+	time.AfterFunc(restartDelay, p.start)
+}
+
+// setFirstStart writes into the settings whether the whole system starts for the first time.
+func (p *proxy) setFirstStart(first bool) {
 	text, err := os.ReadFile(p.settings)
 	if err != nil {
 		fail("can't read settings: %v", err)
 	}
-	text = []byte(strings.Replace(string(text), "FirstStart = true", "FirstStart = false", 1))
-	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
+	changed := strings.Replace(string(text), fmt.Sprintf("FirstStart = %v", !first), fmt.Sprintf("FirstStart = %v", first), 1)
+	if err := os.WriteFile(p.settings, []byte(changed), 0o600); err != nil {
 		fail("can't write settings: %v", err)
 	}
-	time.AfterFunc(700*time.Millisecond, p.start)
+}
+
+// restartDelay is the time after which the platform starts a process that has ended.
+const restartDelay = 700 * time.Millisecond
+
+func (p *proxy) setEnding(ending bool) {
+	p.endedMu.Lock()
+	defer p.endedMu.Unlock()
+	p.ending = ending
 }
 
 // stop ends the process by its id.
-func (p *proxy) stop() {
+func (p *proxy) stop() { p.stopWithin(time.Second) }
+
+// stopWithin sends SIGTERM, and SIGKILL after the grace time.
+func (p *proxy) stopWithin(grace time.Duration) {
 	if p.command == nil {
 		return
 	}
+	p.setEnding(true)
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
-	case <-time.After(time.Second):
+	case <-time.After(grace):
 		_ = p.command.Process.Kill()
 		<-p.done
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -35,6 +36,27 @@
 	history  []item
 	leases   map[int64]storeLease
 	changed  chan struct{}
+	// staleness is the age of what reads with allow_stale see, and past the contents since then.
+	staleness time.Duration
+	past      []contents
+}
+
+// contents are what the store held from a time on.
+type contents struct {
+	since    time.Time
+	revision int64
+	items    map[string]item
+}
+
+// staleItems returns what a read with allow_stale sees. The lock must be held.
+func (s *store) staleItems() (map[string]item, int64) {
+	for len(s.past) > 1 && time.Since(s.past[1].since) >= s.staleness {
+		s.past = s.past[1:]
+	}
+	if s.staleness == 0 || len(s.past) == 0 {
+		return s.items, s.revision
+	}
+	return s.past[0].items, s.past[0].revision
 }
 
 func newStore() *store {
@@ -70,6 +92,9 @@
 }
 
 func (s *store) notify() {
+	if s.staleness > 0 {
+		s.past = append(s.past, contents{time.Now(), s.revision, maps.Clone(s.items)})
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -152,12 +177,15 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	items := []item{}
-	for key, i := range s.items {
+	all, revision := s.items, s.revision
+	if q.Get("allow_stale") == "1" {
+		all, revision = s.staleItems()
+	}
+	for key, i := range all {
 		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
 			items = append(items, i)
 		}
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
 	reply(w, map[string]any{"items": items, "has_more": false, "at": revision})
