--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -109,7 +109,7 @@
 		}
 		p.ended = append(p.ended, time.Now())
 		record("process %s ended by itself: %v", p.name, c.ProcessState)
-		time.AfterFunc(restartDelay, p.start)
+		time.AfterFunc(restartDelay, p.startAgain)
 	}()
 	record("process %s started, zone %s, front %s", p.name, p.zone, p.front)
 }
@@ -122,7 +122,16 @@
 	record("process %s was killed", p.name)
 	p.setFirstStart(false)
 	p.setEnding(false)
-	time.AfterFunc(restartDelay, p.start)
+	time.AfterFunc(restartDelay, p.startAgain)
+}
+
+// startAgain starts a process that has ended, unless it is to stay ended.
+func (p *proxy) startAgain() {
+	p.endedMu.Lock()
+	defer p.endedMu.Unlock()
+	if !p.ending {
+		p.start()
+	}
 }
 
 // setFirstStart writes into the settings whether the whole system starts for the first time.
