--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -33,14 +33,22 @@
 // proxies are those that were started, which are ended with the case.
 var proxies []*proxy
 
+// given are the addresses that freeAddresses has returned.
+var given = map[string]bool{}
+
 // freeAddresses returns addresses whose ports are free now, below those that the system gives
 // to outgoing connections.
 func freeAddresses(n int) []string {
 	var addresses []string
+	// No address is given twice, as a process listens only later.
 	for len(addresses) < n {
 		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		if given[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
+			given[address] = true
 			addresses = append(addresses, address)
 		}
 	}
