supervisor: an order to promote ends with its call

Cause: Promote gave up after 1.2 s and closed its connection in the ordinary way, which leaves the request in the kernel's send queue. When the partition of the path to the promotion API ended, the kernel delivered it, ten seconds after everything that waits for an order (fences, guarantees, the next holder) had taken it as settled.

Nothing is sent once the order's time is over on a clock that counts suspended time, and that time ends with the lock, so that a lower fencing token can't follow a higher one. A reset discards held-up data at the sender, so no order is left to arrive.

Weighed and not taken: a record of the order in the store (docs/FAILOVER.md).

--- a/internal/rosecommand/platform.go
+++ b/internal/rosecommand/platform.go
@@ -99,10 +99,12 @@
 		CapPolicy: rosecap.Policy{
 			Window: time.Duration(settings.Limits.CapWindow), Excess: settings.Limits.CapExcess, Slack: settings.Limits.CapSlack,
 		},
-		Store:             store,
-		Targets:           roseplatform.TargetRegistry{Store: store},
-		Configurations:    roseplatform.ConfigurationStore{Store: store},
-		Promoter:          roseplatform.NewPromoter(settings.Promoter.Address, keepAliveDialer{}),
+		Store:          store,
+		Targets:        roseplatform.TargetRegistry{Store: store},
+		Configurations: roseplatform.ConfigurationStore{Store: store},
+		Promoter: roseplatform.NewPromoter(roseplatform.PromoterConfig{
+			Address: settings.Promoter.Address, Dialer: keepAliveDialer{}, Clock: roseclock.BootTime{},
+		}),
 		TargetDialer:      roseplatform.TargetDialer{Dialer: keepAliveDialer{}},
 		PeerDialer:        keepAliveDialer{},
 		Clock:             roseclock.BootTime{},
--- a/internal/rosenet/network.go
+++ b/internal/rosenet/network.go
@@ -86,8 +86,8 @@
 
 // SetBlocked sets the predicate that reports whether streams from a dialing to a
 // listening host are blocked, in both directions; nil unblocks all. As with TCP,
-// data on a blocked stream is delivered once it is unblocked, unless stallTimeout
-// has passed and closed the stream.
+// data on a blocked stream is delivered once it is unblocked, unless the dialing host has
+// reset the stream, or stallTimeout has passed and closed it.
 func (n *Network) SetBlocked(blocked func(from, to Host) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/rosenet/stream.go
+++ b/internal/rosenet/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
@@ -25,6 +26,47 @@
 	// stalled is closed by StallStreams.
 	stalled   chan struct{}
 	stallOnce sync.Once
+	// lost is closed when the dialing host resets the stream while it is blocked.
+	lost     chan struct{}
+	loseOnce sync.Once
+}
+
+// dialedConn is the dialing host's end of a stream.
+type dialedConn struct {
+	net.Conn
+	stream *stream
+	// resets is set if Close resets the stream.
+	resets atomic.Bool
+}
+
+// SetLinger sets what Close does, as net.TCPConn.SetLinger: with 0 seconds it discards data
+// that a blocked stream has not delivered.
+func (c *dialedConn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	return nil
+}
+
+// Close closes the dialing host's end.
+func (c *dialedConn) Close() error {
+	if c.resets.Load() && c.stream.isBlocked() {
+		c.stream.lose()
+	}
+	return c.Conn.Close()
+}
+
+// lose discards the data that has not been delivered.
+func (s *stream) lose() {
+	s.loseOnce.Do(func() { close(s.lost) })
+}
+
+// isBlocked reports whether the stream delivers nothing now.
+func (s *stream) isBlocked() bool {
+	select {
+	case <-s.stalled:
+		return true
+	default:
+		return s.network.Blocked(s.from, s.to)
+	}
 }
 
 func (s *stream) stall() {
@@ -41,7 +83,7 @@
 func (n *Network) newStream(from, to Host, listenerConn net.Conn) net.Conn {
 	clientConn, networkConn := net.Pipe()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &stream{network: n, from: from, to: to, ctx: ctx, cancel: cancel, stalled: make(chan struct{})}
+	s := &stream{network: n, from: from, to: to, ctx: ctx, cancel: cancel, stalled: make(chan struct{}), lost: make(chan struct{})}
 	n.mu.Lock()
 	n.streams[s] = struct{}{}
 	n.mu.Unlock()
@@ -61,7 +103,7 @@
 		delete(n.streams, s)
 		n.mu.Unlock()
 	})
-	return clientConn
+	return &dialedConn{Conn: clientConn, stream: s}
 }
 
 // copyDelayed copies data from source to sink until either is closed or the
@@ -105,6 +147,11 @@
 		if !roseclock.Sleep(s.ctx, time.Until(c.deliverAt)) || !s.waitUnblocked() {
 			return
 		}
+		select {
+		case <-s.lost:
+			return
+		default:
+		}
 		if _, err := sink.Write(c.data); err != nil {
 			return
 		}
--- a/pkg/rosesupervisor/replace_promote.go
+++ b/pkg/rosesupervisor/replace_promote.go
@@ -142,13 +142,30 @@
 	if !holds || generation != r.generation {
 		return errLockLost
 	}
-	r.mu.Lock()
-	r.orderedAt = r.config.Clock.Now().Add(promoteTimeout)
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	now := r.config.Clock.Now()
+	timeout := orderTimeout(now, until)
+	r.recordOrder(now.Add(timeout))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := r.config.Promoter.Promote(ctx, r.config.Group.Name(), target, string(r.config.Self), generation)
 	klog.InfoS("promotion ordered", "group", r.config.Group.Name(), "target", target, "generation", generation,
-		"dutyUntil", until.Sub(r.config.Clock.Now()), "err", roselog.ErrorMessage(err))
+		"dutyUntil", until.Sub(r.config.Clock.Now()), "took", r.config.Clock.Now().Sub(now), "err", roselog.ErrorMessage(err))
+	// The call may have lasted longer than its timeout if the VM was suspended.
+	r.recordOrder(r.config.Clock.Now())
 	return err
 }
+
+// orderTimeout returns how long an order may take that is given under a lock held until a time,
+// as it must not outlive the lock.
+func orderTimeout(now, heldUntil time.Time) time.Duration {
+	return min(promoteTimeout, heldUntil.Sub(now))
+}
+
+// recordOrder records that a request for a promotion ends at a time at the latest.
+func (r *Replacer) recordOrder(end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if end.After(r.orderedAt) {
+		r.orderedAt = end
+	}
+}
--- a/pkg/rosesupervisor/replace_test.go
+++ b/pkg/rosesupervisor/replace_test.go
@@ -146,3 +146,13 @@
 	_, found := chooseSuccessor(view, nil, rosemary.Status{})
 	qt.Check(t, found, qt.IsFalse)
 }
+
+// An order that arrives after the lock has passed on carries a lower fencing token than the next
+// holder's.
+func TestOrderEndsWithItsLock(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, heldFor := range []time.Duration{100 * time.Millisecond, promoteTimeout, 5 * time.Second} {
+		timeout := orderTimeout(now, now.Add(heldFor))
+		qt.Check(t, timeout <= heldFor && timeout <= promoteTimeout, qt.IsTrue, qt.Commentf("%v of %v", timeout, heldFor))
+	}
+}
