node: a proxy that a stale list lacks doesn't end by itself

Cause: newReading took for granted that the list of members has the proxy itself. The list is read with a call that may return what the store held seconds ago. If all listed proxies of the zone are readers of the store, the first of the others is looked up among none.

The proxy now counts itself as one of its own zone before it divides the zone into readers and others, so whoever isn't a reader is one of the others. Nobody asks a proxy that their list lacks, and a proxy that thinks itself the root reads the store itself, so nothing depends on both lists being equal.

--- a/internal/rosenode/readers.go
+++ b/internal/rosenode/readers.go
@@ -44,8 +44,10 @@
 	root bool
 }
 
-// newReading returns the reading of a proxy among members.
+// newReading returns the reading of a proxy among members. It counts itself as one of them in
+// its own zone, as a stale list may lack it, and know an earlier VM of its name.
 func newReading(self rosemary.Member, members []rosemary.Member) reading {
+	members = append(slices.DeleteFunc(slices.Clone(members), func(m rosemary.Member) bool { return m.Proxy == self.Proxy }), self)
 	if len(members) <= unsharedReads {
 		return reading{}
 	}
--- a/internal/rosenode/readers_test.go
+++ b/internal/rosenode/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +52,35 @@
 	qt.Check(t, small.root || len(small.asked) > 0, qt.IsFalse)
 }
 
+// TestReadingWithoutItself guards against a proxy that ends by itself because a stale list of
+// members lacks it, its zone or all others.
+func TestReadingWithoutItself(t *testing.T) {
+	elsewhere := func(m rosemary.Member) rosemary.Member {
+		m.Zone = "z9"
+		return m
+	}
+	for _, perZone := range [][]int{{5, 5, 3}, {5, 5, 1}, {6, 6, 2}, {12, 1}, {13}, {40, 40, 40}, {41, 41, 42}, {81, 2, 1}} {
+		all := proxies(perZone...)
+		for n, self := range all {
+			without := slices.Delete(slices.Clone(all), n, n+1)
+			moved := slices.Insert(slices.Clone(without), n, elsewhere(self))
+			others := slices.DeleteFunc(slices.Clone(all), func(m rosemary.Member) bool { return m.Zone == self.Zone })
+			for name, members := range map[string][]rosemary.Member{
+				"itself": without, "its zone": others, "all": nil, "in another zone": moved,
+			} {
+				comment := qt.Commentf("%s of %v lacks %s", self.Proxy, perZone, name)
+				r := newReading(self, members)
+				for _, id := range r.asked {
+					qt.Check(t, id != self.Proxy && isAmong(id, members), qt.IsTrue, comment)
+				}
+				if len(members) > unsharedReads {
+					qt.Check(t, r.root || len(r.asked) > 0, qt.IsTrue, comment)
+				}
+			}
+		}
+	}
+}
+
 // News that is older than what is known changes nothing.
 func TestNewsOlderThanKnown(t *testing.T) {
 	c := qt.New(t)
