supervisor: a list without this proxy still has the others asked

A list of members of one entry, another proxy's, had a replacement begin without asking that proxy whether it reaches the primary, and a proxy that was neither registered nor linked rely on its primary, as both were decided by the list's length. And this proxy wasn't counted among those that use a group's targets, so that two of four could take themselves for the larger side.

Both decisions now ask for an entry of another proxy, and the count includes this one. The comment of LockManager.Members, which promised that a registered proxy is listed, says what a stale list may lack.

TestPrimaryConfirmedByTheOnlyOther failed before in the row of the list without this proxy. TestUsersIncludeThisProxy counts 2 of 3 with the earlier count.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -224,7 +224,7 @@
 	g.replacer = rosesupervisor.NewReplacer(rosesupervisor.ReplacerConfig{
 		Self: n.config.Self.Proxy, Group: g.Group, Locks: n.locks, Promoter: n.config.Promoter, Clock: n.config.Clock,
 		Voters:     n.peers(),
-		ProxyCount: func() int { return n.homeCount(name) },
+		ProxyCount: func() int { return n.usersOf(name) },
 	})
 	n.goroutines.Go(func() { g.replacer.Run(ctx) })
 	return g
--- a/internal/rosenode/homes.go
+++ b/internal/rosenode/homes.go
@@ -202,10 +202,14 @@
 	return homes(group, availableConns(configuration.Groups[group], d.slots[group], teams), teams, members)
 }
 
-// homeCount returns the number of home proxies of a group, at least 1.
-func (n *Node) homeCount(group string) int {
+// usersOf returns the number of proxies that use a group's targets: its homes, and this
+// proxy, which a stale list of members may lack.
+func (n *Node) usersOf(group string) int {
 	entry, _ := n.homesOf(group)
-	return max(len(entry.homes), 1)
+	if isAmong(n.config.Self.Proxy, entry.homes) {
+		return len(entry.homes)
+	}
+	return len(entry.homes) + 1
 }
 
 // minSlots returns the smallest number of slots of each group's targets.
--- a/internal/rosenode/homes_test.go
+++ b/internal/rosenode/homes_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -81,3 +82,15 @@
 		}
 	}
 }
+
+// TestUsersIncludeThisProxy guards against a proxy that counts as part of the larger side of a
+// partition, as a stale list of members lacks it.
+func TestUsersIncludeThisProxy(t *testing.T) {
+	members := proxies(1, 1, 1)
+	n := New(Config{Self: members[0], Clock: roseclock.Runtime{}, Store: emptyStore{}})
+	configuration := &rosemary.Configuration{Groups: map[string]rosemary.GroupSettings{"g": {MaxConnections: 60}}}
+	for _, listed := range [][]rosemary.Member{members, members[1:]} {
+		n.directory.Store(newDirectory(members[0], listed, listed, configuration, map[string]int{"g": 3}))
+		qt.Check(t, n.usersOf("g"), qt.Equals, 3, qt.Commentf("%d listed", len(listed)))
+	}
+}
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -114,7 +114,7 @@
 			// They also depend on the time since a change.
 			n.updateGroups(false)
 		}
-		isolated := len(members) > 1 && !n.locks.Registered() && len(n.mesh.LinkedPeers()) == 0
+		isolated := n.locks.KnowsOthers() && !n.locks.Registered() && len(n.mesh.LinkedPeers()) == 0
 		if n.isolated.Swap(isolated) != isolated {
 			klog.InfoS("isolation changed", "isolated", isolated, "members", len(members))
 		}
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -417,14 +417,19 @@
 	return l.Members(), nil
 }
 
-// Members returns the registered proxies as last read from the store; this
-// proxy is among them once it has registered.
+// Members returns the registered proxies as last read from the store. What the store
+// returned may be seconds old, and lack this proxy.
 func (l *LockManager) Members() []rosemary.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.members
 }
 
+// KnowsOthers reports whether another proxy is among the members.
+func (l *LockManager) KnowsOthers() bool {
+	return slices.ContainsFunc(l.Members(), func(m rosemary.Member) bool { return m.Proxy != l.config.Self.Proxy })
+}
+
 // Holds reports whether this proxy may replace the primary of a group now, under
 // which generation of the lock, and until when.
 func (l *LockManager) Holds(group string) (int64, time.Time, bool) {
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -83,7 +83,8 @@
 	Clock    roseclock.Clock
 	// Voters is nil if there are no other proxies.
 	Voters Voters
-	// ProxyCount returns the number of proxies that use the group's targets.
+	// ProxyCount returns the number of proxies that use the group's targets, this one
+	// included.
 	ProxyCount func() int
 }
 
@@ -305,7 +306,7 @@
 // connection too.
 func (r *Replacer) confirmedByPeers(ctx context.Context, action Action, view rosefleet.View) bool {
 	members := r.config.ProxyCount()
-	if action.switchover() || r.config.Voters == nil || len(r.config.Locks.Members()) <= 1 {
+	if action.switchover() || r.config.Voters == nil || !r.config.Locks.KnowsOthers() {
 		return true
 	}
 	now := r.config.Clock.Now()
--- a/pkg/rosesupervisor/replace_test.go
+++ b/pkg/rosesupervisor/replace_test.go
@@ -1,11 +1,13 @@
 package rosesupervisor
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -121,6 +123,46 @@
 	}
 }
 
+// askedVoters records that the other proxies were asked, of which none reaches the primary.
+type askedVoters struct {
+	Voters
+	asked bool
+}
+
+// PollReachability answers a poll.
+func (v *askedVoters) PollReachability(_ context.Context, _ string, _ rosemary.TargetID, poll Poll) Poll {
+	v.asked = true
+	return poll
+}
+
+// TestPrimaryConfirmedByTheOnlyOther guards against a proxy that replaces a primary without
+// the word of the only other one, as a stale list of members lacks the proxy itself.
+func TestPrimaryConfirmedByTheOnlyOther(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		members []rosemary.Member
+		asked   bool
+	}{
+		{"alone", []rosemary.Member{{Proxy: "p"}}, false},
+		{"nobody listed", nil, false},
+		{"both listed", []rosemary.Member{{Proxy: "p"}, {Proxy: "q"}}, true},
+		{"only the other listed", []rosemary.Member{{Proxy: "q"}}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			voters := &askedVoters{}
+			locks := NewLockManager(LockManagerConfig{Self: rosemary.Member{Proxy: "p"}, Clock: roseclock.Runtime{}})
+			locks.members = test.members
+			r := NewReplacer(ReplacerConfig{
+				Group: rosefleet.NewGroup(rosefleet.Config{Name: "g", Clock: roseclock.Runtime{}}), Locks: locks, Clock: roseclock.Runtime{},
+				Voters: voters, ProxyCount: func() int { return 2 },
+			})
+			confirmed := r.confirmedByPeers(context.Background(), ActionFailover, viewWithPrimaryA(func(*rosefleet.View) {}))
+			qt.Check(t, voters.asked, qt.Equals, test.asked)
+			qt.Check(t, confirmed, qt.Equals, !test.asked)
+		})
+	}
+}
+
 func TestChooseSuccessor(t *testing.T) {
 	at := func(id string, offset uint64) rosemary.Status {
 		return rosemary.Status{Target: rosemary.TargetID(id), Position: rosemary.Position{LogTerm: 1, Offset: offset}}
