supervisor: an order to promote is remembered for its term and time

Cause: the successor of an order that the platform had refused ten seconds before was kept, and preferred to the replica with the greatest position. Neither the primary's return, nor the end of the fences, nor time cleared it.

An order is now remembered with the term that it would begin, and counts until it can't take effect any more.

--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -117,10 +117,9 @@
 	// suspicionSent is set once the other proxies were told that the primary
 	// doesn't answer this one.
 	suspicionSent bool
-	// pendingSuccessor is the target of a promotion request whose outcome is
-	// unknown. The request may still take effect, so no other target is promoted
-	// while this one is fenced.
-	pendingSuccessor rosemary.TargetID
+	// pending is the last order to promote if its outcome is unknown. It ends with its
+	// term, or once it can no longer take effect.
+	pending pendingOrder
 	// reported is the newest primary that other proxies knew, asked for at reportedAt.
 	reported   rosemary.Status
 	reportedAt time.Time
@@ -144,6 +143,13 @@
 	guarantees map[rosemary.ProxyID]time.Time
 }
 
+// pendingOrder is an order to promote that may still take effect.
+type pendingOrder struct {
+	successor rosemary.TargetID
+	// term is the one that the successor would begin.
+	term uint64
+}
+
 // unreachableReport is another proxy's report that it can't reach a target.
 type unreachableReport struct {
 	target rosemary.TargetID
@@ -378,7 +384,7 @@
 	if err != nil {
 		klog.InfoS("old primary promoted again", "group", r.config.Group.Name(), "target", oldPrimary.Target, "err", roselog.ErrorMessage(err))
 		r.plannedAfter = r.config.Clock.Now().Add(plannedRetryDelay)
-		return r.promote(ctx, oldPrimary.Target)
+		return r.promote(ctx, term, oldPrimary.Target)
 	}
 	if !r.awaitLeaseTime(ctx) {
 		return ctx.Err()
--- a/pkg/rosesupervisor/replace_promote.go
+++ b/pkg/rosesupervisor/replace_promote.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
+	"github.com/rosemarywell/rosemarywell/pkg/rosegroup"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -34,17 +35,46 @@
 	return err
 }
 
-// promoteBest promotes the best of the candidates, or the one of an earlier request
-// whose outcome is unknown.
+// promoteBest promotes the best of the candidates.
 func (r *Replacer) promoteBest(ctx context.Context, view rosefleet.View, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	term := view.Term + 1
 	successor, found := chooseSuccessor(view, candidates, oldPrimary)
 	if !found {
 		return trace.CompareFailed("no target to promote")
 	}
-	if slices.ContainsFunc(candidates, func(s rosemary.Status) bool { return s.Target == r.pendingSuccessor }) {
-		successor = r.pendingSuccessor
+	successor, err := withPendingOrder(successor, r.unsettledOrder(term), candidates)
+	if err != nil {
+		return err
+	}
+	return r.promote(ctx, term, successor)
+}
+
+// unsettledOrder returns the successor of an earlier order for a term that may still take
+// effect; none if there is no such order.
+func (r *Replacer) unsettledOrder(term uint64) rosemary.TargetID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending.term != term || r.config.Clock.Now().Sub(r.orderedAt) >= rosegroup.MaxPromotionTime {
+		return ""
+	}
+	return r.pending.successor
+}
+
+// withPendingOrder returns the target to promote while an earlier order may still take effect:
+// its target, so that there are not two successors. It fails if that target lacks what the
+// chosen one holds, as it did not when the order was given.
+func withPendingOrder(chosen, pending rosemary.TargetID, candidates []rosemary.Status) (rosemary.TargetID, error) {
+	find := func(id rosemary.TargetID) int {
+		return slices.IndexFunc(candidates, func(s rosemary.Status) bool { return s.Target == id })
+	}
+	at := find(pending)
+	switch {
+	case at < 0:
+		return chosen, nil
+	case candidates[at].Position.AtLeast(candidates[find(chosen)].Position):
+		return pending, nil
 	}
-	return r.promote(ctx, successor)
+	return "", trace.LimitExceeded("an order to promote %s, which is behind %s now, may still take effect", pending, chosen)
 }
 
 // awaitCatchUp waits for a target that isn't leaving to receive the whole log of
@@ -105,7 +135,7 @@
 // promote requests the promotion and waits for the successor to become primary.
 // A request whose outcome is unknown is repeated for the same successor, as it
 // may still take effect.
-func (r *Replacer) promote(ctx context.Context, successor rosemary.TargetID) error {
+func (r *Replacer) promote(ctx context.Context, term uint64, successor rosemary.TargetID) error {
 	var err error
 	for range promoteAttempts {
 		err = r.requestPromotion(ctx, successor)
@@ -113,10 +143,10 @@
 			break
 		}
 		if err == nil || trace.IsCompareFailed(err) {
-			r.pendingSuccessor = ""
+			r.pending = pendingOrder{}
 			break
 		}
-		r.pendingSuccessor = successor
+		r.pending = pendingOrder{successor: successor, term: term}
 		if !roseclock.Sleep(ctx, replaceRetryDelay) {
 			return err
 		}
--- a/pkg/rosesupervisor/replace_test.go
+++ b/pkg/rosesupervisor/replace_test.go
@@ -198,3 +198,42 @@
 		qt.Check(t, timeout <= heldFor && timeout <= promoteTimeout, qt.IsTrue, qt.Commentf("%v of %v", timeout, heldFor))
 	}
 }
+
+// TestPendingOrder guards against a successor of an earlier attempt that is behind by now.
+func TestPendingOrder(t *testing.T) {
+	at := func(id string, offset uint64) rosemary.Status {
+		return rosemary.Status{Target: rosemary.TargetID(id), Position: rosemary.Position{LogTerm: 1, Offset: offset}}
+	}
+	for _, test := range []struct {
+		name       string
+		pending    rosemary.TargetID
+		candidates []rosemary.Status
+		want       rosemary.TargetID
+	}{
+		{"none", "", []rosemary.Status{at("b", 7), at("c", 7)}, "b"},
+		{"same target", "b", []rosemary.Status{at("b", 7), at("c", 7)}, "b"},
+		{"holds as much", "c", []rosemary.Status{at("b", 7), at("c", 7)}, "c"},
+		{"is behind", "c", []rosemary.Status{at("b", 9), at("c", 7)}, ""},
+		{"is gone", "c", []rosemary.Status{at("b", 9)}, "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			successor, err := withPendingOrder("b", test.pending, test.candidates)
+			qt.Check(t, successor, qt.Equals, test.want)
+			qt.Check(t, err != nil, qt.Equals, test.want == "")
+		})
+	}
+}
+
+// An order counts as pending for its own term, and as long as it may take effect.
+func TestOrderSettles(t *testing.T) {
+	r := NewReplacer(ReplacerConfig{Clock: roseclock.Runtime{}})
+	r.pending = pendingOrder{successor: "b", term: 2}
+	for _, test := range []struct {
+		term uint64
+		ago  time.Duration
+		want rosemary.TargetID
+	}{{2, 0, "b"}, {2, rosegroup.MaxPromotionTime - time.Second, "b"}, {2, rosegroup.MaxPromotionTime, ""}, {3, 0, ""}} {
+		r.orderedAt = r.config.Clock.Now().Add(-test.ago)
+		qt.Check(t, r.unsettledOrder(test.term), qt.Equals, test.want, qt.Commentf("term %d, %v ago", test.term, test.ago))
+	}
+}
