supervisor: a replacement that is given up undoes what it did

Cause: giving up had no path of its own. A revoked term stayed revoked, as nothing lowered PrimaryTracker.revokedTerm; an attempt whose fences weren't verified left them, and ActionUnfence wanted a primary that isn't valid, while the holder's own guarantees kept it valid.

Evidence: in the first case every process logs that it stopped relying on the primary, the holder lifts the fences, and nobody relies on it again; in the second both replicas are fenced at the end. The lock's generation is the same all along.

giveUp is now the one exit of an attempt: it lifts the attempt's fences unless a promotion may have been ordered or the lock is lost, and logs the step. The rest is ActionUnfence's, of this or the next holder, whether or not the primary is valid. A revocation ends with a guarantee for the same term that was asked for after it: the holder gives none during an attempt, nor while an order may take effect, so the attempt was given up. No message changes, and a guarantee of the build before means the same.

--- a/internal/rosenode/guarantees.go
+++ b/internal/rosenode/guarantees.go
@@ -54,7 +54,7 @@
 	// doesn't lengthen it.
 	askedAt := n.config.Clock.Now()
 	if duration := n.requestGuarantee(ctx, holder, name, term); duration > 0 {
-		g.ObserveGuarantee(term, askedAt.Add(duration))
+		g.ObserveGuarantee(term, askedAt, askedAt.Add(duration))
 	}
 }
 
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -333,7 +333,7 @@
 func (g *Group) RevokePrimary(term uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.primaryTracker.RevokePrimary(term)
+	g.primaryTracker.RevokePrimary(term, g.config.Clock.Now())
 	klog.InfoS("primary not relied on any more", "group", g.config.Name, "term", term)
 	for _, e := range g.endpoints {
 		e.requestSample()
@@ -353,14 +353,19 @@
 	return primary.Term, primary.ValidUntil.Sub(g.config.Clock.Now()) < remaining
 }
 
-// ObserveGuarantee records that the primary of term isn't replaced before until.
-func (g *Group) ObserveGuarantee(term uint64, until time.Time) {
+// ObserveGuarantee records that the primary of term isn't replaced before until, by the word
+// of the lock's holder, which was asked at a time.
+func (g *Group) ObserveGuarantee(term uint64, askedAt, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, _ := g.primaryTracker.Primary()
-	g.primaryTracker.ObserveGuarantee(term, until)
+	revoked := g.primaryTracker.Revoked()
+	g.primaryTracker.ObserveGuarantee(term, askedAt, until)
 	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
+	if revoked && !g.primaryTracker.Revoked() {
+		klog.InfoS("primary relied on again", "group", g.config.Name, "target", primary.Target, "term", term, "why", "its replacement was given up")
+	}
 	if known && now.Before(primary.ValidUntil) && !now.Before(before.ValidUntil) {
 		klog.InfoS("primary guaranteed", "group", g.config.Name, "target", primary.Target, "term", term, "for", until.Sub(now))
 		g.notifyWaiters()
--- a/pkg/rosegroup/primary_tracker.go
+++ b/pkg/rosegroup/primary_tracker.go
@@ -39,8 +39,11 @@
 	targets   map[rosemary.TargetID]*targetState
 	term      uint64
 	positions []timedPosition
-	// revokedTerm is the highest term whose primary must no longer be used.
+	// revokedTerm is the highest term whose primary must not be used, as it is being
+	// replaced, and revokedAt when this was last said. It ends with a guarantee asked for
+	// later.
 	revokedTerm uint64
+	revokedAt   time.Time
 	// guaranteedUntil is the time before which the primary of guaranteedTerm isn't
 	// replaced, by the word of the only process that may.
 	guaranteedTerm  uint64
@@ -211,13 +214,26 @@
 }
 
 // RevokePrimary ends the lease on the primaries of term and of earlier terms,
-// because a replacement is under way.
-func (t *PrimaryTracker) RevokePrimary(term uint64) { t.revokedTerm = max(t.revokedTerm, term) }
+// because a replacement is under way at a time.
+func (t *PrimaryTracker) RevokePrimary(term uint64, at time.Time) {
+	t.revokedTerm = max(t.revokedTerm, term)
+	if term == t.revokedTerm && at.After(t.revokedAt) {
+		t.revokedAt = at
+	}
+}
+
+// Revoked reports whether the primary of the newest term must not be used.
+func (t *PrimaryTracker) Revoked() bool { return t.term > 0 && t.term <= t.revokedTerm }
 
 // ObserveGuarantee records that the holder of the group's failover lock, without whom
-// no primary is replaced, guarantees that it doesn't replace that of term before until.
-// This keeps the primary lease valid while no replica can be reached.
-func (t *PrimaryTracker) ObserveGuarantee(term uint64, until time.Time) {
+// no primary is replaced, was asked at a time and guarantees that it doesn't replace that of
+// term before until. This keeps the primary lease valid while no replica can be reached. It
+// also says that a replacement that had the primary revoked before was given up, and that none
+// of its orders can take effect any more.
+func (t *PrimaryTracker) ObserveGuarantee(term uint64, askedAt, until time.Time) {
+	if term == t.revokedTerm && askedAt.After(t.revokedAt) && until.After(askedAt) {
+		t.revokedTerm = term - 1
+	}
 	if term > t.guaranteedTerm {
 		t.guaranteedTerm, t.guaranteedUntil = term, time.Time{}
 	}
@@ -252,7 +268,7 @@
 			continue
 		}
 		lease := PrimaryLease{Target: id, Term: t.term}
-		if t.term > t.revokedTerm {
+		if !t.Revoked() {
 			lease.ValidUntil = t.leaseEnd(id)
 		}
 		return lease, true
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -132,6 +132,8 @@
 	promotions promotionCheck
 	// generation is that of the lock under which the current attempt began.
 	generation int64
+	// attempt is what the current attempt has done.
+	attempt attempt
 
 	mu      sync.Mutex
 	reports map[rosemary.ProxyID]unreachableReport
@@ -291,10 +293,13 @@
 		r.relieveAfter = r.config.Clock.Now().Add(relieveInterval)
 	}
 	r.setReplacing(true)
+	r.attempt = attempt{step: "step down"}
 	err := r.replace(ctx, action, view)
+	if err != nil {
+		r.giveUp(ctx, action, err)
+	}
 	r.setReplacing(false)
 	if err != nil {
-		klog.InfoS("replacement failed", "group", r.config.Group.Name(), "need", action.String(), "err", roselog.ErrorMessage(err))
 		roseclock.Sleep(ctx, replaceRetryDelay)
 	}
 	r.action = ActionNone
@@ -357,7 +362,6 @@
 		return ctx.Err()
 	}
 	if r.answersAgain(view) {
-		r.unfence(ctx, view, fenced)
 		return trace.CompareFailed("primary %s answers again, replacement is given up", view.PrimaryLease.Target)
 	}
 	return r.promoteFenced(ctx, view, term, fenced, fenced, rosemary.Status{})
--- a/pkg/rosesupervisor/replace_assess.go
+++ b/pkg/rosesupervisor/replace_assess.go
@@ -26,9 +26,9 @@
 		return ActionFailover, unresponsiveDelay
 	case primary.Leaving:
 		return ActionSwitchover, 0
-	case !view.PrimaryValid && pausedForNewerTerm(view):
+	case pausedForNewerTerm(view):
 		return ActionUnfence, rosegroup.MaxPromotionTime
-	case view.PrimaryValid && !pausedForNewerTerm(view) && stall(view).MovePrimary():
+	case view.PrimaryValid && stall(view).MovePrimary():
 		return ActionRelieve, 0
 	}
 	return ActionNone, 0
--- a/pkg/rosesupervisor/replace_fence.go
+++ b/pkg/rosesupervisor/replace_fence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -61,9 +60,9 @@
 }
 
 // fence fences every replica by Conn.Pause, and returns their statuses. All have to
-// be fenced, as one that isn't would keep the primary lease valid; otherwise fence
-// ends the fences and fails.
+// be fenced, as one that isn't would keep the primary lease valid.
 func (r *Replacer) fence(ctx context.Context, view rosefleet.View, term uint64) ([]rosemary.Status, error) {
+	r.attempt.step, r.attempt.fenced = "fence", notFenced(view)
 	answers, errs := r.controlReplicas(ctx, view, "pause", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) {
 		return c.Pause(deadline, term)
 	})
@@ -80,7 +79,6 @@
 		}
 	}
 	if failed != nil {
-		r.unfence(ctx, view, fenced)
 		return nil, trace.ConnectionProblem(failed, "a replica could not be fenced")
 	}
 	return fenced, nil
@@ -102,9 +100,7 @@
 
 // controlReplicas calls all targets but the primary at once.
 func (r *Replacer) controlReplicas(ctx context.Context, view rosefleet.View, order string, call func(rosemary.Conn, time.Time) (rosemary.Status, error)) ([]rosemary.Status, []error) {
-	replicas := slices.DeleteFunc(slices.Clone(view.Targets), func(t rosefleet.TargetView) bool {
-		return t.ID == view.PrimaryLease.Target && view.HasPrimaryTarget
-	})
+	replicas := replicasOf(view)
 	answers, errs := make([]rosemary.Status, len(replicas)), make([]error, len(replicas))
 	var tasks errgroup.Group
 	for i, t := range replicas {
@@ -134,15 +130,3 @@
 	}
 	return tasks.Wait()
 }
-
-// unfence ends the fences of an attempt that is given up before it requests a
-// promotion. Fences of earlier attempts stay, as a promotion that those have
-// requested may still take effect.
-func (r *Replacer) unfence(ctx context.Context, view rosefleet.View, fenced []rosemary.Status) {
-	for _, s := range fenced {
-		before := slices.IndexFunc(view.Targets, func(t rosefleet.TargetView) bool { return t.ID == s.Target })
-		if before >= 0 && view.Targets[before].Status.PausedTerm == 0 {
-			_, _ = r.controlTarget(ctx, s.Target, "resume", func(c rosemary.Conn, deadline time.Time) (rosemary.Status, error) { return c.Resume(deadline) })
-		}
-	}
-}
--- a/pkg/rosesupervisor/replace_promote.go
+++ b/pkg/rosesupervisor/replace_promote.go
@@ -20,6 +20,7 @@
 // fences keep from being extended. It verifies them, and fences the replicas again
 // while the promotion is under way, as a restart ends a fence.
 func (r *Replacer) promoteFenced(ctx context.Context, view rosefleet.View, term uint64, fenced, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	r.attempt.step = "verify fences"
 	if err := r.verifyFences(ctx, fenced); err != nil {
 		return err
 	}
@@ -37,6 +38,7 @@
 
 // promoteBest promotes the best of the candidates.
 func (r *Replacer) promoteBest(ctx context.Context, view rosefleet.View, candidates []rosemary.Status, oldPrimary rosemary.Status) error {
+	r.attempt.step = "choose a successor"
 	term := view.Term + 1
 	successor, found := chooseSuccessor(view, candidates, oldPrimary)
 	if !found {
@@ -154,6 +156,7 @@
 	if err != nil {
 		return err
 	}
+	r.attempt.step = "takeover"
 	deadline := time.Now().Add(takeoverTimeout)
 	for time.Now().Before(deadline) && roseclock.Sleep(ctx, replacerInterval) {
 		view := r.config.Group.View()
@@ -174,6 +177,7 @@
 	}
 	now := r.config.Clock.Now()
 	timeout := orderTimeout(now, until)
+	r.attempt.step, r.attempt.ordered = "order", true
 	r.recordOrder(now.Add(timeout))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/pkg/rosesupervisor/replace_revoke.go
+++ b/pkg/rosesupervisor/replace_revoke.go
@@ -17,6 +17,7 @@
 // that they have stopped. The latter suffices only if the primary's VM refuses
 // connections, as a proxy unknown to this one then can't use the primary either.
 func (r *Replacer) awaitLeaseExpiry(ctx context.Context, view rosefleet.View) bool {
+	r.attempt.step = "wait for leases"
 	fencedAt := time.Now()
 	if view.HasPrimaryTarget && view.PrimaryTarget.ConnectionRefused && r.config.Voters != nil && r.revokeOnAllProxies(ctx, view.Term) {
 		return true
