caller: prepared statements share a name only if they are equal

Cause: the name is a hash over the access and the content, joined as "w" and the content for a write and the content alone for a read. The hash, 64-bit FNV-1a, doesn't resist collisions either, and clients choose the content.

Names of the build before are shorter, so that none can be that of another statement here.

--- a/pkg/rosecaller/session_state.go
+++ b/pkg/rosecaller/session_state.go
@@ -1,8 +1,8 @@
 package rosecaller
 
 import (
-	"hash/fnv"
-	"strconv"
+	"crypto/sha256"
+	"encoding/base64"
 
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -18,14 +18,15 @@
 
 // withSharedName names a prepared statement by a hash of its content. Names
 // that clients choose may collide on a connection that several sessions use;
-// with content hashes, the sessions share equal statements instead.
+// with content hashes, the sessions share equal statements instead. Clients choose the
+// content too, so the hash has to resist collisions.
 func withSharedName(statement rosemary.Statement) rosemary.Statement {
-	hash := fnv.New64a()
+	access := "r"
 	if statement.Writes {
-		_, _ = hash.Write([]byte{'w'})
+		access = "w"
 	}
-	_, _ = hash.Write([]byte(statement.Payload))
-	statement.ID, statement.Name = "", "p"+strconv.FormatUint(hash.Sum64(), 36)
+	sum := sha256.Sum256([]byte(access + statement.Payload))
+	statement.ID, statement.Name = "", "p"+base64.RawURLEncoding.EncodeToString(sum[:])
 	return statement
 }
 
