front: a prepared statement's name tells its query from its types

The cause of shapes on PostgreSQL's side, found by reading: the name at the target hashed the query followed by the parameter types without a separation, so that one client's "select 1 abc" and another's "select 1" with the type 0x20616263 shared a name. The hash was cut to 96 bits, for which collisions can be searched.

The query's length comes first now, and the name has 192 bits of the hash.

--- a/internal/rosefront/prepared.go
+++ b/internal/rosefront/prepared.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 	"slices"
 	"strings"
@@ -26,17 +27,22 @@
 	script        rosestatement.Script
 }
 
+// targetNameBytes is the length of the hash in a statement's name at a target; PostgreSQL
+// allows names of 63 characters.
+const targetNameBytes = 24
+
 func newPreparedStatement(m *pgproto3.Parse) *preparedStatement {
 	p := &preparedStatement{query: m.Query, parameterOIDs: m.ParameterOIDs, script: rosestatement.Scan(m.Query)}
 	if m.Name == "" {
 		return p
 	}
-	hash := sha256.New()
-	hash.Write([]byte(m.Query))
+	content := binary.BigEndian.AppendUint64(nil, uint64(len(m.Query)))
+	content = append(content, m.Query...)
 	for _, oid := range m.ParameterOIDs {
-		hash.Write([]byte{byte(oid >> 24), byte(oid >> 16), byte(oid >> 8), byte(oid)})
+		content = binary.BigEndian.AppendUint32(content, oid)
 	}
-	p.targetName = "rose_" + hex.EncodeToString(hash.Sum(nil)[:12])
+	sum := sha256.Sum256(content)
+	p.targetName = "rose_" + hex.EncodeToString(sum[:targetNameBytes])
 	return p
 }
 
