platform: an entry with fields missing names no target

Cause: parseRegistration demanded a service, an address and a state, and filled in the rest.

What a peer sends is checked for the same, as one of an earlier build passes incomplete registrations on; its messages don't change.

TestNewsOlderThanKnown's registration has an address and a zone now, as those of targets do.

--- a/internal/rosenode/readers.go
+++ b/internal/rosenode/readers.go
@@ -151,11 +151,7 @@
 func (n *Node) hearTargets(reply rosewire.Reply, askedAt time.Time) {
 	readAt := askedAt.Add(-millis(*reply.AgeMs))
 	if !reply.Yes {
-		registrations := make([]rosemary.TargetRegistration, len(reply.Targets))
-		for i, t := range reply.Targets {
-			registrations[i] = decodeRegistration(t, askedAt)
-		}
-		n.replaceTargets(registrations, readAt, false)
+		n.replaceTargets(decodeRegistrations(reply.Targets, askedAt), readAt, false)
 		return
 	}
 	serves := n.serves()
--- a/internal/rosenode/readers_test.go
+++ b/internal/rosenode/readers_test.go
@@ -86,7 +86,7 @@
 	c := qt.New(t)
 	n := New(Config{Self: rosemary.Member{Proxy: "p"}, Clock: roseclock.Runtime{}, Store: emptyStore{}})
 	registration := func(leaving bool) []rosemary.TargetRegistration {
-		return []rosemary.TargetRegistration{{Target: rosemary.Target{ID: "t-1"}, Group: "g", Slots: 3, Leaving: leaving}}
+		return []rosemary.TargetRegistration{{Target: rosemary.Target{ID: "t-1", Address: "a:1", Zone: "z"}, Group: "g", Slots: 3, Leaving: leaving}}
 	}
 	now := n.config.Clock.Now()
 	n.replaceTargets(registration(true), now.Add(-time.Second), false)
@@ -128,3 +128,20 @@
 
 // Epoch returns 0.
 func (emptyStore) Epoch() uint64 { return 0 }
+
+// TestIncompleteRegistrationsOfPeers guards against a registration with fields missing that a
+// proxy of an earlier build has read and passes on.
+func TestIncompleteRegistrationsOfPeers(t *testing.T) {
+	whole := rosewire.Registration{Target: "t-1", Address: "a:1", Zone: "z", Group: "g", Slots: 3}
+	sent := []rosewire.Registration{whole}
+	for _, change := range []func(r *rosewire.Registration){
+		func(r *rosewire.Registration) { r.Target = "" }, func(r *rosewire.Registration) { r.Address = "" },
+		func(r *rosewire.Registration) { r.Zone = "" }, func(r *rosewire.Registration) { r.Group = "" },
+		func(r *rosewire.Registration) { r.Slots = 0 },
+	} {
+		incomplete := whole
+		change(&incomplete)
+		sent = append(sent, incomplete)
+	}
+	qt.Check(t, decodeRegistrations(sent, time.Now()), qt.HasLen, 1)
+}
--- a/internal/rosenode/targets_peer.go
+++ b/internal/rosenode/targets_peer.go
@@ -91,10 +91,7 @@
 		return
 	}
 	readAt := askedAt.Add(-millis(*reply.AgeMs))
-	registrations := make([]rosemary.TargetRegistration, len(reply.Targets))
-	for i, t := range reply.Targets {
-		registrations[i] = decodeRegistration(t, askedAt)
-	}
+	registrations := decodeRegistrations(reply.Targets, askedAt)
 	klog.InfoS("targets pulled", "from", from, "targets", len(registrations), "ageMs", *reply.AgeMs, "ownAgeMs", n.targetsAge().Milliseconds())
 	n.replaceTargets(registrations, readAt, false)
 }
@@ -127,6 +124,18 @@
 	return encoded
 }
 
+// decodeRegistrations returns the registrations that a peer has sent, but for those with fields
+// missing, which earlier builds pass on.
+func decodeRegistrations(targets []rosewire.Registration, askedAt time.Time) []rosemary.TargetRegistration {
+	var registrations []rosemary.TargetRegistration
+	for _, t := range targets {
+		if t.Target != "" && t.Address != "" && t.Zone != "" && t.Group != "" && t.Slots > 0 {
+			registrations = append(registrations, decodeRegistration(t, askedAt))
+		}
+	}
+	return registrations
+}
+
 func decodeRegistration(t rosewire.Registration, askedAt time.Time) rosemary.TargetRegistration {
 	r := rosemary.TargetRegistration{
 		Target: rosemary.Target{ID: rosemary.TargetID(t.Target), Address: t.Address, Zone: rosemary.Zone(t.Zone)},
