relay: a text that isn't UTF-8 doesn't end the link

Callers of every session on a link between two proxies lost their requests when one client's statement wasn't UTF-8. The review suspected it; TestTextThatIsNotUTF8 shows it.

Cause: statements and rows travel as CBOR texts, which the decoder checks for UTF-8 unless told otherwise, and a failed read ends the link.

The decoder accepts any bytes; the encoder never checked. The messages don't change.

--- a/pkg/roserelay/codec.go
+++ b/pkg/roserelay/codec.go
@@ -215,5 +215,15 @@
 	if err != nil {
 		return message, trace.Wrap(err)
 	}
-	return message, trace.Wrap(cbor.Unmarshal(body, &message))
+	return message, trace.Wrap(decoding.Unmarshal(body, &message))
 }
+
+// decoding accepts any bytes in texts, as what clients and targets send need not be UTF-8, and
+// an error ends the link for all requests on it.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
