node: log where a configuration came from and how long it took

Callers were refused as an older version of the configuration says. The logs showed when a version came into force, but neither from where, nor for how long the proxy had relied on the version before, nor since when it had heard of the newer one; so a watch that heard nothing, a sum of slow steps and a pull that failed looked the same.

"configuration in force" names source, unconfirmedMs and namedMs, "configuration named" and "watch missed a configuration" are new, with a histogram and a counter. No change of logic.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -45,6 +45,7 @@
 	lost, retryDelay := false, minRetryDelay
 	refused := ""
 	for ctx.Err() == nil {
+		source := sourceWatch
 		if newest := n.config.Store.Epoch(); newest != epoch {
 			// Revisions of an earlier epoch are void.
 			epoch, revision = newest, 0
@@ -61,10 +62,16 @@
 		sentAt := n.config.Clock.Now()
 		var configuration *rosemary.Configuration
 		if revision == 0 || asksReaders || time.Since(fetchedAt) > fetchInterval {
+			watched := revision != 0 && !asksReaders
+			source = sourceRead
 			callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 			configuration, revision, err = n.config.Configurations.Fetch(callCtx)
 			cancel()
 			fetchedAt, confirmedAt = time.Now(), sentAt
+			if watched && configuration != nil && !n.hasVersion(configuration.Version) {
+				n.metrics.countMissedNotification()
+				klog.InfoS("watch missed a configuration", "version", configuration.Version, "revision", revision)
+			}
 		} else {
 			configuration, revision, err = n.config.Configurations.Await(ctx, revision, awaitTimeout)
 			confirmedAt = sentAt
@@ -82,7 +89,7 @@
 			if configuration != nil {
 				refused = ""
 			}
-			n.apply(configuration)
+			n.apply(configuration, source)
 			n.confirmConfiguration(confirmedAt)
 			if asksReaders {
 				roseclock.Sleep(ctx, awaitTimeout)
@@ -94,7 +101,7 @@
 				klog.ErrorS(nil, "configuration refused", "from", "store", "revision", revision, "err", roselog.ErrorMessage(err))
 			}
 			refused, lost, retryDelay = err.Error(), false, minRetryDelay
-			n.apply(configuration)
+			n.apply(configuration, source)
 			n.confirmConfiguration(confirmedAt)
 			if asksReaders {
 				roseclock.Sleep(ctx, awaitTimeout)
@@ -112,8 +119,15 @@
 	}
 }
 
+// Where a proxy got a configuration from, in logs and metrics.
+const (
+	sourceWatch = "watch"
+	sourceRead  = "read"
+	sourcePull  = "pull"
+)
+
 // apply puts a configuration into force if it is newer than the current one.
-func (n *Node) apply(configuration *rosemary.Configuration) {
+func (n *Node) apply(configuration *rosemary.Configuration, source string) {
 	if configuration == nil {
 		return
 	}
@@ -128,8 +142,13 @@
 	}
 	n.configuration.Store(configuration)
 	n.metrics.setConfigurationVersion(configuration.Version)
+	unconfirmed, namedBefore := n.configurationDelays(configuration.Version)
+	if current != nil {
+		n.metrics.observeConfigurationDelay(source, unconfirmed)
+	}
 	n.mesh.SetBundleVersion(uint64(configuration.Version))
-	klog.InfoS("configuration in force", "version", configuration.Version, "routes", len(configuration.Routes), "groups", len(configuration.Groups),
+	klog.InfoS("configuration in force", "version", configuration.Version, "source", source,
+		"unconfirmedMs", unconfirmed.Milliseconds(), "namedMs", namedBefore.Milliseconds(), "routes", len(configuration.Routes), "groups", len(configuration.Groups),
 		"teams", configuration.Teams.Len())
 	n.updateGroups(false)
 }
--- a/internal/rosenode/follow_test.go
+++ b/internal/rosenode/follow_test.go
@@ -19,7 +19,7 @@
 		var tasks sync.WaitGroup
 		for _, version := range rand.Perm(versions) {
 			tasks.Go(func() {
-				n.apply(&rosemary.Configuration{Version: int64(version + 1)})
+				n.apply(&rosemary.Configuration{Version: int64(version + 1)}, sourceRead)
 				qt.Check(t, n.configuration.Load().Version > int64(version), qt.IsTrue)
 			})
 		}
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -1,6 +1,7 @@
 package rosenode
 
 import (
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -110,6 +111,16 @@
 	m.set.GetOrCreateCounter("rosemary_configuration_version").Set(uint64(version))
 }
 
+// observeConfigurationDelay records for how long the version before wasn't known to be the
+// newest when a new one came into force.
+func (m *Metrics) observeConfigurationDelay(source string, unconfirmed time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_configuration_delay_seconds{source=%q}", source)).Update(unconfirmed.Seconds())
+}
+
+func (m *Metrics) countMissedNotification() {
+	m.set.GetOrCreateCounter("rosemary_configuration_notifications_missed_total").Inc()
+}
+
 func (m *Metrics) countStoreRestore() {
 	m.set.GetOrCreateCounter("rosemary_store_restores_total").Inc()
 }
--- a/internal/rosenode/news.go
+++ b/internal/rosenode/news.go
@@ -68,6 +68,7 @@
 	if n.hasVersion(version) {
 		return
 	}
+	n.recordNamed(address, version)
 	done := n.homeFetches.DoChan(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(n.runContext(), homeFetchTimeout)
 		defer cancel()
@@ -85,6 +86,43 @@
 	}
 }
 
+// namedVersion is the newest version that another proxy has named.
+type namedVersion struct {
+	version int64
+	at      time.Time
+}
+
+// recordNamed records that another proxy has named a version.
+func (n *Node) recordNamed(from string, version int64) {
+	if n.hasVersion(version) {
+		return
+	}
+	n.mu.Lock()
+	newer := version > n.named.version
+	if newer {
+		n.named = namedVersion{version, n.config.Clock.Now()}
+	}
+	n.mu.Unlock()
+	if newer {
+		klog.InfoS("configuration named", "version", version, "from", from)
+	}
+}
+
+// configurationDelays returns for how long the version in force wasn't known to be the newest
+// when a new one arrived, and since when that one or a newer one was named by another proxy;
+// zero if none has.
+func (n *Node) configurationDelays(version int64) (unconfirmed, named time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.configurationAt.IsZero() {
+		unconfirmed = n.config.Clock.Now().Sub(n.configurationAt)
+	}
+	if n.named.version >= version {
+		named = n.config.Clock.Now().Sub(n.named.at)
+	}
+	return unconfirmed, named
+}
+
 // hasVersion reports whether the configuration in force has at least a version.
 func (n *Node) hasVersion(version int64) bool {
 	current := n.configuration.Load()
@@ -134,7 +172,7 @@
 		configuration, _, err := n.config.Configurations.Fetch(readCtx)
 		cancel()
 		if err == nil {
-			n.apply(configuration)
+			n.apply(configuration, sourceRead)
 		}
 		peers := n.mesh.LinkedPeers()
 		for _, id := range peers[:min(len(peers), maxPulls)] {
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -120,6 +120,7 @@
 	targetsReadAt time.Time
 	// configurationAt is when the configuration in force was last known to be the newest.
 	configurationAt time.Time
+	named           namedVersion
 	// context is the context of Run, nil before Run.
 	context    context.Context
 	goroutines sync.WaitGroup
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -161,6 +161,7 @@
 // fetchFromPeer fetches a configuration from a peer unless it arrives from the
 // store first.
 func (n *Node) fetchFromPeer(from rosemary.ProxyID, version int64) {
+	n.recordNamed(string(from), version)
 	if !n.fetchingConfiguration.CompareAndSwap(false, true) {
 		return
 	}
@@ -195,7 +196,7 @@
 		return false
 	}
 	klog.InfoS("configuration pulled", "from", from, "version", configuration.Version)
-	n.apply(configuration)
+	n.apply(configuration, sourcePull)
 	return true
 }
 
--- a/internal/rosenode/readers_test.go
+++ b/internal/rosenode/readers_test.go
@@ -90,7 +90,7 @@
 	}
 	now := n.config.Clock.Now()
 	n.replaceTargets(registration(true), now.Add(-time.Second), false)
-	n.apply(&rosemary.Configuration{Version: 9})
+	n.apply(&rosemary.Configuration{Version: 9}, sourceRead)
 	n.confirmConfiguration(now.Add(-time.Second))
 	old := uint64(5000)
 	n.hearTargets(rosewire.Reply{Yes: true, AgeMs: &old}, now)
@@ -111,7 +111,7 @@
 	now := n.config.Clock.Now()
 	c.Check(n.describeStore(rosewire.Question{}), qt.DeepEquals, rosewire.Reply{})
 	n.replaceTargets([]rosemary.TargetRegistration{{Target: rosemary.Target{ID: "t-1"}, Group: "g", Slots: 3}}, now, false)
-	n.apply(&rosemary.Configuration{Version: 9})
+	n.apply(&rosemary.Configuration{Version: 9}, sourceRead)
 	c.Check(n.describeStore(rosewire.Question{}), qt.DeepEquals, rosewire.Reply{})
 	n.confirmConfiguration(now)
 	reply := n.describeStore(rosewire.Question{})
