node: only reads prove that a configuration is the newest

What callers saw: requests refused as an older version of the configuration says, longer after the change than the operators allow.

Cause: the time from a change to its coming into force was the sum of constants that nobody added up against the bound. A watch that wasn't answered was given up after 3.3 s; a watch that told of nothing counted as proof that nothing had changed, for up to 10 s and for every proxy that asked the one that reads, so that none read the store itself; and a proxy whose reader was lost waited 3 s, then 1.5 s for each read on a connection that had gone silent.

A read of the whole configuration now follows each watch, and ages count from reads alone, so a proxy that relies on another notices within the age that it believes. A reply about the store loads the version under the lock of its age.

No message changes: the age in a reply is as before, and an older proxy reads it as before.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// awaitTimeout bounds one wait for a new configuration, and thus the delay of
-	// a new version if the watch stalls.
-	awaitTimeout = 1800 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the store,
 	// which doubles with each further one.
 	minRetryDelay = 150 * time.Millisecond
@@ -27,10 +24,8 @@
 	// newsCheckInterval is how often a proxy that hears of the store from readers checks
 	// whether their news has become too old.
 	newsCheckInterval = 250 * time.Millisecond
-	// fetchInterval is how often the whole configuration is read in addition to
-	// the watch, as the store may drop the notification of a change.
-	fetchInterval = 10 * time.Second
-	// storeReadTimeout bounds one read of the targets or of the configuration.
+	// storeReadTimeout bounds one read of the targets, and one of the configuration after
+	// others that failed.
 	storeReadTimeout = 1500 * time.Millisecond
 	// controlConnections is the number of a target's connections that are
 	// reserved for status and control calls.
@@ -39,86 +34,94 @@
 
 // followConfiguration applies each new configuration in the store. A proxy that hears of it
 // from readers reads it only if their news is too old.
+//
+// Only a read of the whole configuration shows that a version is the newest: a watch that
+// tells of no change may not have been told of it.
 func (n *Node) followConfiguration(ctx context.Context) {
-	revision, fetchedAt := int64(0), time.Time{}
+	// watchFrom is the revision of the last read if a watch is next, else 0.
+	watchFrom := int64(0)
 	epoch := n.config.Store.Epoch()
-	lost, retryDelay := false, minRetryDelay
-	refused := ""
+	lost, failures, retryDelay := false, 0, minRetryDelay
+	watched, refused := false, ""
 	for ctx.Err() == nil {
-		source := sourceWatch
 		if newest := n.config.Store.Epoch(); newest != epoch {
 			// Revisions of an earlier epoch are void.
-			epoch, revision = newest, 0
+			epoch, watchFrom = newest, 0
 			n.locks.RefreshNow()
 		}
+		budget := n.newsBudget()
 		asksReaders := len(n.askedReaders()) > 0
-		if asksReaders && n.configurationAge() <= maxConfigurationAge {
-			revision = 0
-			roseclock.Sleep(ctx, newsCheckInterval)
-			continue
+		if asksReaders {
+			watchFrom = 0
+			if n.configurationAge() <= budget.MaxAge {
+				roseclock.Sleep(ctx, newsCheckInterval)
+				continue
+			}
 		}
 		var err error
-		var confirmedAt time.Time
-		sentAt := n.config.Clock.Now()
 		var configuration *rosemary.Configuration
-		if revision == 0 || asksReaders || time.Since(fetchedAt) > fetchInterval {
-			watched := revision != 0 && !asksReaders
-			source = sourceRead
-			callCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+		sentAt, source := n.config.Clock.Now(), sourceRead
+		revision := watchFrom
+		if watchFrom == 0 {
+			callCtx, cancel := context.WithTimeout(ctx, budget.ReadTimeoutAfter(failures, storeReadTimeout))
 			configuration, revision, err = n.config.Configurations.Fetch(callCtx)
 			cancel()
-			fetchedAt, confirmedAt = time.Now(), sentAt
 			if watched && configuration != nil && !n.hasVersion(configuration.Version) {
 				n.metrics.countMissedNotification()
 				klog.InfoS("watch missed a configuration", "version", configuration.Version, "revision", revision)
 			}
 		} else {
-			configuration, revision, err = n.config.Configurations.Await(ctx, revision, awaitTimeout)
-			confirmedAt = sentAt
-			if answered := sentAt.Add(awaitTimeout); configuration == nil && !n.config.Clock.Now().Before(answered) {
-				// The store has waited before it answered.
-				confirmedAt = answered
-			}
+			source = sourceWatch
+			callCtx, cancel := context.WithTimeout(ctx, budget.Wait+budget.WatchMargin)
+			configuration, _, err = n.config.Configurations.Await(callCtx, watchFrom, budget.Wait)
+			cancel()
 		}
-		switch {
-		case err == nil:
+		watched = source == sourceWatch && configuration == nil && err == nil
+		malformed := trace.IsBadParameter(err)
+		if malformed && err.Error() != refused {
+			// The last well-formed version stays in force until the next change.
+			klog.ErrorS(nil, "configuration refused", "from", "store", "revision", revision, "err", roselog.ErrorMessage(err))
+			refused = err.Error()
+		}
+		if err == nil || malformed {
 			if lost {
-				klog.InfoS("store regained", "for", "configuration")
+				klog.InfoS("store regained", "for", "configuration", "failures", failures)
 			}
-			lost, retryDelay = false, minRetryDelay
-			if configuration != nil {
+			lost, failures, retryDelay = false, 0, minRetryDelay
+			if configuration != nil && !malformed {
 				refused = ""
 			}
 			n.apply(configuration, source)
-			n.confirmConfiguration(confirmedAt)
-			if asksReaders {
-				roseclock.Sleep(ctx, awaitTimeout)
-			}
-			continue
-		case trace.IsBadParameter(err):
-			// The last well-formed version stays in force until the next change.
-			if err.Error() != refused {
-				klog.ErrorS(nil, "configuration refused", "from", "store", "revision", revision, "err", roselog.ErrorMessage(err))
-			}
-			refused, lost, retryDelay = err.Error(), false, minRetryDelay
-			n.apply(configuration, source)
-			n.confirmConfiguration(confirmedAt)
-			if asksReaders {
-				roseclock.Sleep(ctx, awaitTimeout)
+			watchFrom = 0
+			if source == sourceRead {
+				n.confirmConfiguration(sentAt)
+				watchFrom = revision
 			}
 			continue
+		}
+		switch {
 		case errors.Is(err, rosemary.ErrCompacted):
 			klog.InfoS("configuration read anew", "why", roselog.ErrorMessage(err))
 		case ctx.Err() == nil && !lost:
 			lost = true
-			klog.InfoS("store lost", "for", "configuration", "err", roselog.ErrorMessage(err))
+			klog.InfoS("store lost", "for", "configuration", "call", source, "tookMs", n.config.Clock.Now().Sub(sentAt).Milliseconds(),
+				"configurationAgeMs", n.configurationAge().Milliseconds(), "err", roselog.ErrorMessage(err))
+		}
+		watchFrom = 0
+		if failures++; failures == 1 && n.config.Clock.Now().Sub(sentAt) >= budget.ReadTimeout {
+			// The store didn't answer, and time has passed already.
+			continue
 		}
-		revision = 0
 		roseclock.Sleep(ctx, retryDelay)
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
+// newsBudget returns how the time in which a change has to be in force is spent.
+func (n *Node) newsBudget() rosedecision.NewsBudget {
+	return rosedecision.NewNewsBudget(n.config.ConfigurationTime, n.readsForOthers())
+}
+
 // Where a proxy got a configuration from, in logs and metrics.
 const (
 	sourceWatch = "watch"
--- a/internal/rosenode/news.go
+++ b/internal/rosenode/news.go
@@ -11,12 +11,13 @@
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
+	"github.com/rosemarywell/rosemarywell/pkg/rosedecision"
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
 )
 
 const (
 	// DefaultConfigurationTime is how old the news of the configuration may be by default.
-	DefaultConfigurationTime = 5 * time.Second
+	DefaultConfigurationTime = rosedecision.DefaultNewsBound
 	// configurationPath is the HTTP path at which a proxy serves its configuration.
 	configurationPath = "/configuration"
 	// homeFetchTimeout bounds the fetch of a configuration from a home.
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -38,8 +38,8 @@
 	// LeavingTime is how long after its report a leaving target may get new work;
 	// rosefleet.DefaultLeavingTime if zero.
 	LeavingTime time.Duration
-	// ConfigurationTime is how old the news that the configuration in force is the newest
-	// may be; DefaultConfigurationTime if zero.
+	// ConfigurationTime is the time in which a change of the configuration has to be in
+	// force; DefaultConfigurationTime if zero.
 	ConfigurationTime time.Duration
 	// CapPolicy is how far teams may exceed their usage caps.
 	CapPolicy      rosecap.Policy
--- a/internal/rosenode/readers.go
+++ b/internal/rosenode/readers.go
@@ -25,10 +25,8 @@
 	readerPollInterval = 500 * time.Millisecond
 	// readerPollTimeout bounds the wait for a reply.
 	readerPollTimeout = 250 * time.Millisecond
-	// maxConfigurationAge is how old a reader's news of the configuration may be before a
-	// proxy reads it from the store itself.
-	maxConfigurationAge = 3 * time.Second
-	// maxIdleTargetsAge is the same for the targets, for a proxy that serves no group.
+	// maxIdleTargetsAge is how old a reader's news of the targets may be before a proxy that
+	// serves no group reads them from the store itself.
 	maxIdleTargetsAge = 10 * time.Second
 )
 
@@ -143,7 +141,7 @@
 	}
 	n.hearTargets(reply, askedAt)
 	n.hearConfiguration(reader, int64(*reply.Version), askedAt.Add(-millis(*reply.VersionAgeMs)))
-	return n.targetsAge() <= maxTargetsAge && n.configurationAge() <= maxConfigurationAge
+	return n.targetsAge() <= maxTargetsAge && n.configurationAge() <= n.newsBudget().MaxAge
 }
 
 // hearTargets takes over the targets of a reader's reply, or that those known haven't
@@ -198,10 +196,11 @@
 // describeStore answers a question about what this proxy has read from the store, or heard
 // of it. It leaves out the targets if the sender has the same.
 func (n *Node) describeStore(question rosewire.Question) rosewire.Reply {
-	configuration := n.configuration.Load()
 	digest, known := n.targetsDigest()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	// Loaded under the lock, so that an age isn't that of a later version.
+	configuration := n.configuration.Load()
 	if configuration == nil || !known || n.configurationAt.IsZero() {
 		return rosewire.Reply{}
 	}
