platform: an entry with values that no target can have names none

What callers saw: with one odd entry of another writer among those of the targets, no request that needs a primary was served any more once the primary was lost.

Cause: the entry's fields were checked for being there and of their type, not for values that a target can have. A port above 65535, 0, negative or by name, an address without a host, or the largest integer as slots or start made a replica that can't be fenced. Of what peers send, slots became negative and ages came to lie in the future if the number was too large.

TargetRegistration.Check decides in one place, for entries and for what peers pass on, and numbers of milliseconds are bounded. No message changes: an older proxy gets what it got.

--- a/internal/rosenode/readers_test.go
+++ b/internal/rosenode/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -145,3 +146,20 @@
 	}
 	qt.Check(t, decodeRegistrations(sent, time.Now()), qt.HasLen, 1)
 }
+
+// TestOddNumbersOfPeers guards against a number of a peer's message that is too large, and makes
+// a list look newer than every later one or a target's slots negative.
+func TestOddNumbersOfPeers(t *testing.T) {
+	whole := rosewire.Registration{Target: "t-1", Address: "a:1", Zone: "z", Group: "g", Slots: 3}
+	for _, count := range []uint64{1 << 31, 1 << 43, 1<<53 + 1, 1 << 62, 1<<63 - 1, 1 << 63, math.MaxUint64} {
+		odd := whole
+		odd.Slots = count
+		qt.Check(t, decodeRegistrations([]rosewire.Registration{odd, whole}, time.Now()), qt.HasLen, 1, qt.Commentf("%d", count))
+		qt.Check(t, millis(count) >= 0, qt.IsTrue, qt.Commentf("%d", count))
+	}
+	for _, address := range []string{"a:65536", "a:0", "a:-1", "a:http", ":1", "a"} {
+		odd := whole
+		odd.Address = address
+		qt.Check(t, decodeRegistrations([]rosewire.Registration{odd, whole}, time.Now()), qt.HasLen, 1, qt.Commentf("%s", address))
+	}
+}
--- a/internal/rosenode/targets_peer.go
+++ b/internal/rosenode/targets_peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -124,13 +125,13 @@
 	return encoded
 }
 
-// decodeRegistrations returns the registrations that a peer has sent, but for those with fields
-// missing, which earlier builds pass on.
+// decodeRegistrations returns the registrations that a peer has sent, but for those that name no
+// target, which earlier builds pass on.
 func decodeRegistrations(targets []rosewire.Registration, askedAt time.Time) []rosemary.TargetRegistration {
 	var registrations []rosemary.TargetRegistration
 	for _, t := range targets {
-		if t.Target != "" && t.Address != "" && t.Zone != "" && t.Group != "" && t.Slots > 0 {
-			registrations = append(registrations, decodeRegistration(t, askedAt))
+		if r := decodeRegistration(t, askedAt); r.Check() == nil {
+			registrations = append(registrations, r)
 		}
 	}
 	return registrations
@@ -139,7 +140,7 @@
 func decodeRegistration(t rosewire.Registration, askedAt time.Time) rosemary.TargetRegistration {
 	r := rosemary.TargetRegistration{
 		Target: rosemary.Target{ID: rosemary.TargetID(t.Target), Address: t.Address, Zone: rosemary.Zone(t.Zone)},
-		Group:  t.Group, Slots: int(t.Slots), Leaving: t.Leaving, Primary: t.Primary, Incarnation: t.Incarnation, Sequence: t.Sequence,
+		Group:  t.Group, Slots: int(min(t.Slots, math.MaxInt32)), Leaving: t.Leaving, Primary: t.Primary, Incarnation: t.Incarnation, Sequence: t.Sequence,
 	}
 	if t.ReadyMs != nil {
 		r.LastReadyAt = askedAt.Add(-millis(*t.ReadyMs))
@@ -147,7 +148,11 @@
 	return r
 }
 
-func millis(count uint64) time.Duration { return time.Duration(count) * time.Millisecond }
+// millis returns a number of milliseconds that a peer has sent, or the longest duration if it
+// is longer.
+func millis(count uint64) time.Duration {
+	return time.Duration(min(count, math.MaxInt64/uint64(time.Millisecond))) * time.Millisecond
+}
 
 // ageMillis returns an age in milliseconds, rounded up, as it must not be understated.
 func ageMillis(age time.Duration) *uint64 {
--- a/pkg/rosemary/statement.go
+++ b/pkg/rosemary/statement.go
@@ -165,24 +165,6 @@
 	Promote(ctx context.Context, group string, target TargetID, holder string, generation int64) error
 }
 
-// TargetRegistration is the platform's record of one target.
-type TargetRegistration struct {
-	Target
-	Group   string
-	Slots   int
-	Leaving bool
-	Primary bool
-	// Incarnation differs after a replacement of the server under the same
-	// ID and address.
-	Incarnation int64
-	// Sequence increases with each update of the record.
-	Sequence int64
-	// LastReadyAt is when the reader of the record last knew that the target wasn't
-	// leaving, on its own clock; zero if it never did. A leaving target reported so
-	// later.
-	LastReadyAt time.Time
-}
-
 // TargetSource lists the targets registered with the platform. It skips and
 // counts unreadable entries.
 type TargetSource interface {
