node: an unanswered watch doesn't lengthen the read that follows

With a bound of 3 s, a watch and the read after it that aren't answered made a change come into force after 3.2 s.

TestUnansweredReadAfterWatch failed with 3 s, not with 5 and 7 s. Only reads count for the timeout of the next read now.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -41,7 +41,9 @@
 	// watchFrom is the revision of the last read if a watch is next, else 0.
 	watchFrom := int64(0)
 	epoch := n.config.Store.Epoch()
-	lost, failures, retryDelay := false, 0, minRetryDelay
+	lost, retryDelay := false, minRetryDelay
+	// failures is the number of reads in a row that failed.
+	failures := 0
 	watched, refused := false, ""
 	for ctx.Err() == nil {
 		if newest := n.config.Store.Epoch(); newest != epoch {
@@ -108,10 +110,13 @@
 				"configurationAgeMs", n.configurationAge().Milliseconds(), "err", roselog.ErrorMessage(err))
 		}
 		watchFrom = 0
-		if failures++; failures == 1 && n.config.Clock.Now().Sub(sentAt) >= budget.ReadTimeout {
-			// The store didn't answer, and time has passed already.
+		if source == sourceWatch && n.config.Clock.Now().Sub(sentAt) >= budget.ReadTimeout {
+			// Time has passed already.
 			continue
 		}
+		if source == sourceRead {
+			failures++
+		}
 		roseclock.Sleep(ctx, retryDelay)
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
--- a/internal/rosenode/follow_test.go
+++ b/internal/rosenode/follow_test.go
@@ -1,12 +1,16 @@
 package rosenode
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
 
@@ -27,3 +31,51 @@
 		qt.Check(t, n.configuration.Load().Version, qt.Equals, int64(versions))
 	}
 }
+
+// silentSource has version 2 from just after its first read, answers no watch, and not its
+// second read.
+type silentSource struct {
+	rosemary.ConfigurationSource
+	reads int
+}
+
+// Fetch returns the newest version.
+func (s *silentSource) Fetch(ctx context.Context) (*rosemary.Configuration, int64, error) {
+	s.reads++
+	switch s.reads {
+	case 1:
+		return &rosemary.Configuration{Version: 1}, 1, nil
+	case 2:
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return &rosemary.Configuration{Version: 2}, 2, nil
+}
+
+// Await waits until ctx ends.
+func (s *silentSource) Await(ctx context.Context, revision int64, _ time.Duration) (*rosemary.Configuration, int64, error) {
+	<-ctx.Done()
+	return nil, revision, ctx.Err()
+}
+
+// TestUnansweredReadAfterWatch guards against a change that is in force too late because the
+// store answers neither a watch nor the read that follows it.
+func TestUnansweredReadAfterWatch(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, 7 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			n := New(Config{
+				Self: rosemary.Member{Proxy: "p"}, Clock: roseclock.Runtime{}, Store: emptyStore{}, Configurations: &silentSource{}, ConfigurationTime: bound,
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				n.followConfiguration(ctx)
+			}()
+			time.Sleep(bound)
+			qt.Check(t, n.hasVersion(2), qt.IsTrue, qt.Commentf("%s", bound))
+			cancel()
+			<-done
+		})
+	}
+}
