--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -71,9 +71,11 @@
 	term     uint64
 	log      []entry
 	paused   uint64
-	conns    map[net.Conn]bool
-	draining bool
-	seq      int64
+	// darkUntil is until when the backend answers nothing.
+	darkUntil time.Time
+	conns     map[net.Conn]bool
+	draining  bool
+	seq       int64
 	// greyShare is the share of its requests that it fails, and greyCode the code.
 	greyShare float64
 	greyCode  string
@@ -133,6 +135,23 @@
 	v.mu.Unlock()
 }
 
+// dark has the backend answer nothing, without an end of its connections, for a time.
+func (b *backend) dark(length time.Duration) {
+	v := b.service
+	v.record.add("backend %s is dark for %v", b.id, length)
+	v.mu.Lock()
+	b.darkUntil = time.Now().Add(length)
+	v.mu.Unlock()
+}
+
+// awaitLight waits until the backend isn't dark.
+func (b *backend) awaitLight() {
+	b.service.mu.Lock()
+	until := b.darkUntil
+	b.service.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // back starts the backend again with its log, as a replica if another one was promoted.
 func (b *backend) back() {
 	l, err := net.Listen("tcp", b.address)
@@ -232,7 +251,7 @@
 		time.Sleep(2 * time.Millisecond)
 		v.mu.Lock()
 		p := v.leader()
-		if p != nil && p != b && b.up && p.up && !b.primary && b.paused == 0 {
+		if p != nil && p != b && b.up && p.up && time.Now().After(p.darkUntil) && !b.primary && b.paused == 0 {
 			b.receive(p)
 		}
 		v.mu.Unlock()
@@ -338,6 +357,7 @@
 	if err != nil {
 		return
 	}
+	b.awaitLight()
 	fields := strings.Fields(line)
 	if len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != b.service.name || len(fields) > 3 && fields[3] != b.id {
 		fmt.Fprintf(conn, "ERROR WRONGNODE %s\r\n", b.id)
@@ -355,6 +375,7 @@
 		if word != "QUERY" {
 			return
 		}
+		b.awaitLight()
 		if text != "STATUS" {
 			time.Sleep(2 * time.Millisecond)
 		}
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -323,3 +323,94 @@
 	}
 	return broken
 }
+
+// platformSlow is how long the platform takes over a promotion, and darkTime how long the primary
+// is dark.
+const (
+	platformSlow = 12 * time.Second
+	darkTime     = 2500 * time.Millisecond
+)
+
+// lateWrites returns a function that records acknowledged writes which were committed at an old
+// primary, and the list of them.
+func (w *world) lateWrites(v *service) (acked func(id string), broken func() []string) {
+	var mu sync.Mutex
+	var late []string
+	return func(id string) {
+			v.mu.Lock()
+			at, found := v.late[id]
+			v.mu.Unlock()
+			if found {
+				w.record.add("BROKEN ONE: %s was committed at the old primary and acknowledged", id)
+				mu.Lock()
+				late = append(late, fmt.Sprintf("ONE: write %s was committed at the old primary %s and acknowledged", id, at))
+				mu.Unlock()
+			}
+		}, func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return late
+		}
+}
+
+// slowOrder: a primary is dark for a moment while the platform is slow. The order to promote
+// another backend takes effect when the primary has long been in use again.
+func slowOrder(w *world) []string {
+	v := w.service("svc", "a", "b", "c")
+	w.configure("db", "svc")
+	for _, zone := range []string{"a", "b", "c"} {
+		w.start("edge-"+zone+"-1", zone)
+	}
+	awaitReady(w.proxies...)
+	acked, broken := w.lateWrites(v)
+	stop := make(chan struct{})
+	for _, p := range w.proxies {
+		go writeAlways(w, v, p, stop, acked)
+	}
+	time.Sleep(9 * time.Second)
+	if w.trouble {
+		w.cloud.setSlow(platformSlow)
+		v.primaryBackend().dark(darkTime)
+	}
+	time.Sleep(28 * time.Second)
+	close(stop)
+	time.Sleep(time.Second)
+	return broken()
+}
+
+// strayEntry: another writer leaves an entry for an address where nobody listens. Then the primary
+// is lost for good.
+func strayEntry(w *world) []string {
+	v := w.service("svc", "a", "b", "c")
+	w.configure("db", "svc")
+	for _, zone := range []string{"a", "b", "c"} {
+		w.start("edge-"+zone+"-1", zone)
+	}
+	awaitReady(w.proxies...)
+	if w.trouble {
+		w.store.put("servers/i-other", map[string]any{
+			"service": "svc", "address": freePorts(1)[0], "zone": "a", "version": "v1", "slots": 8,
+			"state": "ready", "cold_left_ms": 0, "db_role": "replica", "seq": 1,
+		})
+		w.record.add("store: another writer writes servers/i-other")
+	}
+	var count atomic.Int64
+	stop := make(chan struct{})
+	for _, p := range w.proxies {
+		go writeAlways(w, v, p, stop, func(string) { count.Add(1) })
+	}
+	time.Sleep(6 * time.Second)
+	lost := v.primaryBackend()
+	lost.crash()
+	w.store.drop("servers/" + lost.id)
+	time.Sleep(10 * time.Second)
+	count.Store(0)
+	time.Sleep(60 * time.Second)
+	served := count.Load()
+	close(stop)
+	w.record.add("%d writes were acknowledged from 10 to 70 s after the loss", served)
+	if served == 0 {
+		return []string{"Fault: no request was served from 10 to 70 s after the loss of the primary"}
+	}
+	return nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -68,6 +68,8 @@
 	"refused-commit": refusedCommit,
 	"late-order":     lateOrder,
 	"big-answers":    bigAnswers,
+	"slow-order":     slowOrder,
+	"stray-entry":    strayEntry,
 }
 
 func main() {
@@ -86,7 +88,7 @@
 	s := newStore(r)
 	w := &world{
 		record: r, store: s, dir: dir, trouble: os.Getenv("TROUBLE") != "0",
-		cloud: &cloud{record: r, services: map[string]*service{}, delay: map[string]time.Duration{}, calls: map[string]int{}},
+		cloud: &cloud{record: r, services: map[string]*service{}, delay: map[string]time.Duration{}},
 	}
 	go func() {
 		signals := make(chan os.Signal, 1)
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -24,8 +24,15 @@
 
 	mu    sync.Mutex
 	delay map[string]time.Duration
-	// calls counts the connections that proxies have opened.
-	calls map[string]int
+	// slow is how long the platform takes over a call that it has read.
+	slow time.Duration
+}
+
+func (c *cloud) setSlow(slow time.Duration) {
+	c.record.add("platform: takes %v over a promotion", slow)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = slow
 }
 
 func (c *cloud) setDelay(proxy string, delay time.Duration) {
@@ -64,7 +71,6 @@
 	defer conn.Close()
 	c.mu.Lock()
 	delay := c.delay[proxy]
-	c.calls[proxy]++
 	c.mu.Unlock()
 	started := time.Now()
 	buffer := make([]byte, 64<<10)
@@ -119,6 +125,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	c.mu.Lock()
+	slow := c.slow
+	c.mu.Unlock()
+	if slow > 0 {
+		c.record.add("platform: %s has sent the promotion of %s", r.Header.Get("X-Lease-Holder"), body.ID)
+		time.Sleep(slow)
+	}
 	w.WriteHeader(c.services[body.Service].promote(body.ID, r.Header.Get("X-Lease-Holder"), token))
 }
 
