--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -37,14 +37,12 @@
 
 	mu       sync.Mutex
 	backends []*backend
-	// sent are the IDs and texts that clients have sent.
-	sent map[string]string
 	// ordered is the greatest fencing token of a promotion, and seenBy whose it was.
 	ordered int64
 	seenBy  string
 	// tookOver is when the last promotion took effect.
 	tookOver time.Time
-	// acked are the commits of old primaries after a promotion took effect, by their ID.
+	// late maps the IDs of commits at an old primary, after a promotion took effect, to it.
 	late map[string]string
 	// lower are the promotions with a lower token than one seen before.
 	lower []string
@@ -82,7 +80,7 @@
 }
 
 func newService(name string, r *record, s *store, zones ...string) *service {
-	v := &service{name: name, record: r, store: s, lag: 20 * time.Millisecond, sent: map[string]string{}, late: map[string]string{}, committed: map[string]bool{}, expected: map[string]string{}}
+	v := &service{name: name, record: r, store: s, lag: 20 * time.Millisecond, late: map[string]string{}, committed: map[string]bool{}, expected: map[string]string{}}
 	for i, zone := range zones {
 		b := &backend{
 			service: v, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, term: 1, primary: i == 0, conns: map[net.Conn]bool{},
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -10,7 +10,7 @@
 )
 
 // writeAlways has a client write through a proxy until stop is closed, a write each 20 ms, and
-// returns the writes that were acknowledged.
+// calls acked with the ID of each that was acknowledged.
 func writeAlways(w *world, v *service, p *proxy, stop <-chan struct{}, acked func(id string)) {
 	var c *client
 	for n := 0; ; n++ {
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -43,10 +43,8 @@
 	return id, message, state
 }
 
+// send sends a statement, sets the closing message of its answer and returns the state.
 func (c *client) send(id, text string, message *string) (state string) {
-	c.v.mu.Lock()
-	c.v.sent[id] = text
-	c.v.mu.Unlock()
 	_ = c.conn.SetDeadline(time.Now().Add(3 * time.Second))
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return ""
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -22,6 +22,7 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+// lease is a lease of the store.
 type lease struct {
 	ttl  time.Duration
 	ends time.Time
@@ -39,16 +40,17 @@
 	leases   map[int64]*lease
 	lastID   int64
 	changed  chan struct{}
-	refused  map[string]bool
-	renewed  map[string]time.Time
-	listed   map[string]time.Time
-	holders  map[string]string
+	// refused are the proxies that are turned away; renewed and listed are when each last renewed
+	// its lease and read the backends.
+	refused map[string]bool
+	renewed map[string]time.Time
+	listed  map[string]time.Time
 }
 
 func newStore(r *record) *store {
 	s := &store{
 		record: r, revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
-		refused: map[string]bool{}, renewed: map[string]time.Time{}, listed: map[string]time.Time{}, holders: map[string]string{}, lastID: 1000,
+		refused: map[string]bool{}, renewed: map[string]time.Time{}, listed: map[string]time.Time{}, lastID: 1000,
 	}
 	go s.expire()
 	return s
