rosesupervisor: log promises to abstain and locks kept beyond the lease

The logs showed neither who had promised to claim no lock, nor on what grounds, nor until when the lock of the proxy that asked was proved by its lease, so a holder that never lost its lock, one that got it back from promises alone and one with a wrong clock looked the same.

"duty extended", "duty not extended", "abstention promised" and "abstention refused" name the claims of the proxy with their generations; "duty extended" has provenFor, the time for which the lock was still proved when the promises were asked for. Each is logged when it changes, or again after a renewal of the lease. No change of logic.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -204,7 +204,7 @@
 func (n *Node) answerQuestion(from rosemary.ProxyID, question rosewire.Question) rosewire.Reply {
 	switch question.About {
 	case rosepeer.AboutAbstain:
-		yes := n.locks.Abstain()
+		yes := n.locks.Abstain(from)
 		return rosewire.Reply{Yes: yes, Known: true}
 	case rosepeer.AboutLockReleased:
 		n.locks.RefreshNow()
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -166,6 +166,10 @@
 	// to claim no lock, and abstainUntil that of this proxy's own promise.
 	peersAbstainUntil time.Time
 	abstainUntil      time.Time
+	// reportedExtension and reportedPromises are what was last logged about the locks kept
+	// beyond the lease, and about the promises asked for by other proxies.
+	reportedExtension string
+	reportedPromises  map[rosemary.ProxyID]string
 }
 
 // lockClaim is a lock that this proxy holds.
@@ -205,6 +209,7 @@
 		freeSince:  make(map[string]time.Time),
 
 		notClaimableSince: make(map[string]time.Time),
+		reportedPromises:  make(map[rosemary.ProxyID]string),
 	}
 }
 
--- a/pkg/rosesupervisor/lock_register.go
+++ b/pkg/rosesupervisor/lock_register.go
@@ -62,6 +62,7 @@
 			l.mu.Lock()
 			l.renewedAt = sentAt
 			l.storeFailing = false
+			l.forgetReports()
 			l.mu.Unlock()
 			return true
 		case !trace.IsNotFound(err):
