rosesupervisor: promises continue a lock only while it is proved

Cause: a holder that the store doesn't answer keeps its locks beyond its lease if every other proxy promises to claim none. A promise says what a proxy will do, and was taken as proof of what others had done: the holder asked also after its lease had ended, when another proxy may have claimed its locks, and had them back. That other one promised too, since the store had stopped answering it meanwhile; it claimed nothing any more, but held.

Promises now only continue what the lease, or the promises before, still prove when the last reply is there; a holder that has lapsed waits for the store. Apart from that, a holder names its claims when it asks, and a proxy that has claimed one of these locks later refuses; one whose own claim is older gives that up. Both say of a claim no more than its generation does.

The question gains the field Locks. A build before ignores it and promises as before, which the first rule makes harmless; a question without it is refused by any proxy that holds a lock, so that a holder of the build before can't be back either.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -204,7 +204,7 @@
 func (n *Node) answerQuestion(from rosemary.ProxyID, question rosewire.Question) rosewire.Reply {
 	switch question.About {
 	case rosepeer.AboutAbstain:
-		yes := n.locks.Abstain(from)
+		yes := n.locks.Abstain(from, decodeLocks(question.Locks))
 		return rosewire.Reply{Yes: yes, Known: true}
 	case rosepeer.AboutLockReleased:
 		n.locks.RefreshNow()
@@ -265,14 +265,30 @@
 // RequestAbstention asks all connected peers not to claim failover locks for a while,
 // and returns those that promised it, and all that were asked. It asks none if this proxy
 // isn't linked to all, whose promises are needed.
-func (p peers) RequestAbstention(ctx context.Context) (promised, asked []rosemary.ProxyID) {
+func (p peers) RequestAbstention(ctx context.Context, claims []rosesupervisor.ClaimedLock) (promised, asked []rosemary.ProxyID) {
 	if !p.mesh.FullMesh() {
 		return nil, p.others()
 	}
-	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain})
+	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain, Locks: encodeLocks(claims)})
 	return agreedPeers(replies), asked
 }
 
+func encodeLocks(claims []rosesupervisor.ClaimedLock) []rosewire.ClaimedLock {
+	locks := make([]rosewire.ClaimedLock, 0, len(claims))
+	for _, c := range claims {
+		locks = append(locks, rosewire.ClaimedLock{Group: c.Group, Generation: uint64(c.Generation)})
+	}
+	return locks
+}
+
+func decodeLocks(locks []rosewire.ClaimedLock) []rosesupervisor.ClaimedLock {
+	claims := make([]rosesupervisor.ClaimedLock, 0, len(locks))
+	for _, lock := range locks {
+		claims = append(claims, rosesupervisor.ClaimedLock{Group: lock.Group, Generation: int64(lock.Generation)})
+	}
+	return claims
+}
+
 // others returns the other live proxies, linked or not.
 func (p peers) others() []rosemary.ProxyID {
 	return p.mesh.LiveOthers()
--- a/pkg/rosepeer/query.go
+++ b/pkg/rosepeer/query.go
@@ -46,7 +46,8 @@
 	// AboutCaps asks a host of usage caps to grant the sender tokens of teams.
 	AboutCaps = "Caps"
 	// AboutAbstain asks the peer not to claim a lock for a while if it, like
-	// the sender, can't reach the store.
+	// the sender, can't reach the store, and holds none of the sender's locks by a
+	// later claim.
 	AboutAbstain = "Abstain"
 )
 
--- a/pkg/rosesupervisor/epoch.go
+++ b/pkg/rosesupervisor/epoch.go
@@ -118,7 +118,7 @@
 	klog.InfoS("store restored", "epoch", number, "earlierEpoch", l.epoch.number, "lease", l.lease, "duties", len(l.held),
 		"members", len(l.members), "registersIn", next.registerAfter.Sub(now))
 	l.epoch = next
-	l.lease, l.renewedAt, l.storeFailing = 0, time.Time{}, false
+	l.lease, l.renewedAt, l.storeFailing, l.peersAbstainUntil = 0, time.Time{}, false, time.Time{}
 	clear(l.held)
 	clear(l.freeSince)
 	l.forgetUsageHostRevisions()
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -115,9 +115,10 @@
 
 // Peers sends requests about locks to the other proxies.
 type Peers interface {
-	// RequestAbstention asks all not to claim locks for abstainDuration. It returns
-	// those that promised it, and all that were asked.
-	RequestAbstention(ctx context.Context) (promised, asked []rosemary.ProxyID)
+	// RequestAbstention asks all not to claim locks for abstainDuration, so that this
+	// proxy keeps those of claims. It returns those that promised it, and all that were
+	// asked.
+	RequestAbstention(ctx context.Context, claims []ClaimedLock) (promised, asked []rosemary.ProxyID)
 	// NotifyLockReleased tells a proxy that a group's lock is free, so that it claims
 	// the lock without waiting for its next refresh.
 	NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string)
@@ -163,7 +164,8 @@
 	// lease.
 	storeFailing bool
 	// peersAbstainUntil is the time until which every other proxy has promised
-	// to claim no lock, and abstainUntil that of this proxy's own promise.
+	// to claim no lock, without a gap since the lease, and abstainUntil that of this
+	// proxy's own promise.
 	peersAbstainUntil time.Time
 	abstainUntil      time.Time
 	// reportedExtension and reportedPromises are what was last logged about the locks kept
--- a/pkg/rosesupervisor/lock_register.go
+++ b/pkg/rosesupervisor/lock_register.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
@@ -71,7 +72,7 @@
 		}
 		l.mu.Lock()
 		klog.InfoS("lease ended, duties lost", "lease", lease, "duties", len(l.held))
-		l.lease, l.storeFailing = 0, false
+		l.lease, l.storeFailing, l.peersAbstainUntil = 0, false, time.Time{}
 		clear(l.held)
 		l.mu.Unlock()
 	}
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -30,6 +30,15 @@
 	Want uint64 `cbor:"Want"`
 }
 
+// ClaimedLock is a failover lock that the sender has claimed.
+type ClaimedLock struct {
+	// Generation is that of the claim; a later one has a greater generation.
+	Generation uint64 `cbor:"Generation"`
+
+	// Group is the group of the lock.
+	Group string `cbor:"Group"`
+}
+
 // Content answers a Pull.
 type Content struct {
 	// Body is the requested part; empty if the sender doesn't have it.
@@ -265,6 +274,11 @@
 	// Group is the group asked about; empty if the question concerns none.
 	Group string `cbor:"Group"`
 
+	// Locks are the locks that the sender of an Abstain wants to keep. A peer that
+	// holds one by a later claim refuses; if there are none, so does a peer that
+	// holds any.
+	Locks []ClaimedLock `cbor:"Locks,omitempty"`
+
 	// Number identifies the question at the sender.
 	Number uint64 `cbor:"Number"`
 
