rosesupervisor: a promise to claim no lock outlives the process that gave it

Cause, found on a related path: a promise to claim no lock for 2 s was kept in the memory of the process that gave it. If that is killed and its successor reaches the store before the holder does, it registers and claims the lock, whose lease has ended, while the holder still relies on the promise.

Evidence: TestPromiseOutlivesItsProxy, two holders for 24 to 59 samples of 20 ms in each of its eight cases.

A proxy that has just started claims no free lock for as long as a promise lasts, unless the whole system starts for the first time. It claims a lock that its earlier incarnation has left behind at once, since that one was claimed before a promise could be given, so the time without a holder after a restart is what it was: TestHolderDiesAtEachStep, red as before, fails in the same steps, as often as before (30 runs each).

--- a/pkg/rosesupervisor/lock_claim.go
+++ b/pkg/rosesupervisor/lock_claim.go
@@ -36,7 +36,7 @@
 		return
 	}
 	now := l.config.Clock.Now()
-	if now.Before(l.abstainUntil) {
+	if now.Before(l.abstainUntil) || item.Revision == 0 && now.Before(l.earlierPromiseEnd()) {
 		l.mu.Unlock()
 		return
 	}
@@ -53,6 +53,16 @@
 	}
 }
 
+// earlierPromiseEnd returns until when a promise of an earlier incarnation of this proxy to claim
+// no lock may last. A lock that has stayed with that one was claimed before it promised. The
+// caller holds the lock.
+func (l *LockManager) earlierPromiseEnd() time.Time {
+	if l.config.FirstStart {
+		return time.Time{}
+	}
+	return l.startedAt.Add(abstainDuration)
+}
+
 // claimDelay returns how long a lock has to be free before this proxy claims it.
 func (l *LockManager) claimDelay(group string, members []rosemary.Member) time.Duration {
 	delay := time.Duration(l.claimRank(group, members)) * claimStagger
