node: a proxy that the others take for dead uses no primary

What callers would see: reads and writes answered by a primary that has been replaced.

That it has a link counted as such knowledge, but a link that has gone silent stays open for 15 s, while the others take a proxy for dead after 7 s and its registration ends within 8 s. Besides, whether it is isolated was worked out once a second and believed in between.

A link now counts while a message of any peer has arrived within the time after which the peers take a silent one for dead, and the answer is worked out whenever a primary is used. No message changes.

--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -90,8 +90,7 @@
 	newsOutdated atomic.Bool
 	// readTargetsNow makes followTargets read the targets at once.
 	readTargetsNow chan struct{}
-	// isolated is set while this proxy is neither registered in the store nor
-	// connected to a peer.
+	// isolated is whether isIsolated was last seen to hold, for the logs.
 	isolated atomic.Bool
 	// zonePartitioned is set while this proxy's zone is cut off from the others.
 	zonePartitioned atomic.Bool
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -114,8 +114,7 @@
 			// They also depend on the time since a change.
 			n.updateGroups(false)
 		}
-		isolated := n.locks.KnowsOthers() && !n.locks.Registered() && len(n.mesh.LinkedPeers()) == 0
-		if n.isolated.Swap(isolated) != isolated {
+		if isolated := n.isIsolated(); n.isolated.Swap(isolated) != isolated {
 			klog.InfoS("isolation changed", "isolated", isolated, "members", len(members))
 		}
 	}
@@ -133,8 +132,15 @@
 // allowPrimary reports whether this proxy may rely on a primary. A proxy whose
 // lease in the store has expired and that is connected to no peer may not: the
 // proxy that replaces a primary doesn't know of it, and can't tell it to stop
-// using the old one.
-func (n *Node) allowPrimary() bool { return !n.isolated.Load() }
+// using the old one. This is looked at whenever the primary is used, as a lease may
+// end at any time.
+func (n *Node) allowPrimary() bool { return !n.isIsolated() }
+
+// isIsolated reports whether this proxy is neither registered in the store nor linked to
+// another one.
+func (n *Node) isIsolated() bool {
+	return !n.mesh.Linked() && !n.locks.Registered() && n.locks.KnowsOthers()
+}
 
 // configurationText returns the text of the configuration in force, for a peer.
 // It is the part with an empty digest; unlike a bundle, a configuration has no
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -72,6 +73,12 @@
 	// done is closed when Run ends, to stop links that peers opened.
 	done chan struct{}
 
+	// heardAt is when a message last arrived, in nanoseconds since created, and linked what
+	// Linked returns.
+	heardAt atomic.Int64
+	created time.Time
+	linked  atomic.Bool
+
 	mu    sync.Mutex
 	node  *Node
 	links map[rosemary.ProxyID]*link
@@ -115,6 +122,7 @@
 		client:   &http.Client{Transport: transport},
 		scheme:   "ws://",
 		done:     make(chan struct{}),
+		created:  time.Now(),
 		node:     NewNode(config.Node),
 		links:    make(map[rosemary.ProxyID]*link),
 		dialedAt: make(map[rosemary.ProxyID]time.Time),
@@ -163,6 +171,8 @@
 	m.runStep(func(n *Node) ([]Envelope, []Event) { return n.Tick(now) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	heardAt := m.heardAt.Load()
+	m.linked.Store(heardAt > 0 && now.Sub(m.created)-time.Duration(heardAt) <= m.node.deathTime())
 	for _, id := range m.node.Neighbours() {
 		if m.links[id] != nil || now.Sub(m.dialedAt[id]) < redialInterval+dialTimeout {
 			continue
@@ -214,6 +224,7 @@
 }
 
 func (m *Mesh) receive(from rosemary.ProxyID, message rosewire.Message) {
+	m.heardAt.Store(max(int64(time.Since(m.created)), 1))
 	switch {
 	case message.Cancel != nil:
 		m.config.OnCancel(uint32(message.Cancel.ProcessID), uint32(message.Cancel.Secret))
@@ -372,6 +383,10 @@
 	return m.node.View()
 }
 
+// Linked reports whether a message of any peer has arrived so lately that the peers don't take
+// this proxy for dead. A link that has gone silent stays open for longer. It takes no lock.
+func (m *Mesh) Linked() bool { return m.linked.Load() }
+
 // LinkedPeers returns the peers that this proxy has a link to.
 func (m *Mesh) LinkedPeers() []rosemary.ProxyID {
 	m.mu.Lock()
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -318,6 +318,11 @@
 	return n.config.HeartbeatInterval
 }
 
+// deathTime returns how long a member is silent before the others take it for dead.
+func (n *Node) deathTime() time.Duration {
+	return (suspectHeartbeats + refuteHeartbeats) * n.heartbeatInterval()
+}
+
 // checkTimeouts suspects silent neighbours, declares suspects dead that did not
 // refute in time, and removes members that left or died long ago.
 func (n *Node) checkTimeouts(now time.Time) []Event {
