rosecaller: log what ran beside a session that wasn't applied

The logs showed the refusal, but not that another statement had been sent along with the settings, nor its answer, so a commit that ran, one that was refused too and a lost connection looked the same.

"session not applied" names the statement that the target refused, the one sent along and whether that ran. No change of logic.

--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -177,6 +177,7 @@
 	}
 	if !allSucceeded(answers[:len(setup)]) {
 		// The statement may have run with the wrong session settings.
+		logRefusedSetup(lease, setup, statement, answers)
 		lease.Release(false)
 		if statement.Writes && answers[len(setup)].Failure.MayHaveRun() {
 			return rosemary.Answer{}, tryUnknown
--- a/pkg/rosecaller/session_state.go
+++ b/pkg/rosecaller/session_state.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/base64"
 
+	"k8s.io/klog/v2"
+
 	"github.com/rosemarywell/rosemarywell/pkg/rosefleet"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 )
@@ -57,6 +59,19 @@
 	return statements, next
 }
 
+// logRefusedSetup logs that a target refused one of the statements that apply a session, with the
+// answer to the statement that was sent along with them.
+func logRefusedSetup(lease *rosefleet.ConnLease, setup []rosemary.Statement, statement rosemary.Statement, answers []rosemary.Answer) {
+	for i, s := range setup {
+		if answers[i].Failure != rosemary.FailureNone {
+			along := answers[len(setup)]
+			klog.InfoS("session not applied", "target", lease.Target(), "kind", s.Kind.String(), "code", answers[i].Code,
+				"along", statement.Kind.String(), "id", statement.ID, "alongRan", along.Failure.MayHaveRun(), "alongCode", along.Code)
+			return
+		}
+	}
+}
+
 // namesWithin reports whether other has every name that settings has.
 func namesWithin(settings, other map[string]string) bool {
 	for name := range settings {
--- a/pkg/rosecaller/transaction.go
+++ b/pkg/rosecaller/transaction.go
@@ -120,6 +120,7 @@
 		return rosemary.Answer{}, j.connectionLost(sent)
 	}
 	if !allSucceeded(answers[:len(setup)]) {
+		logRefusedSetup(j.lease, setup, statement, answers)
 		j.discardLease()
 		j.transactionState = rosemary.TransactionFailed
 		return rosemary.Answer{}, aborted("the session's settings and prepared statements could not be applied on the target")
