rosecaller: send a statement once the target has applied the session

Outside of transactions, writes that ran under another client's settings, or none.

Cause: the settings and the prepared statement that a statement needs were sent to the target in one go with it. A target that refuses one of several statements goes on with the next, so the statement ran without its session; the proxy then judged by the refusal alone.

The session is now applied in an exchange of its own, and the statement is sent once the target has acknowledged all of it. What isn't acknowledged is not run, so the write is tried elsewhere instead of left unknown, and a transaction is aborted without its commit having been sent. It costs a round trip where the settings of a connection have to change. A BEGIN still goes along with them: without them it changes nothing, as its connection is closed.

TestRefusedSettingBeforeCommit failed before, for BUSY and FAILED.

--- a/pkg/rosecaller/execution.go
+++ b/pkg/rosecaller/execution.go
@@ -157,7 +157,12 @@
 func (j *job) try(execution *execution, lease *rosefleet.ConnLease) (rosemary.Answer, tryResult) {
 	statement := execution.statement
 	j.setTarget(lease)
-	setup, state := j.setupStatements(lease, statement)
+	deadline := j.tryDeadline(execution)
+	if applied, err := j.applySession(lease, deadline, statement); err != nil || !applied {
+		lease.Release(false)
+		execution.avoid = lease.Target()
+		return rosemary.Answer{}, tryRetry
+	}
 	if !lease.Primary() {
 		statement.MinPosition = j.request(execution, true).MinPosition
 		if statement.MinPosition.IsZero() {
@@ -166,7 +171,7 @@
 			return rosemary.Answer{}, tryRetry
 		}
 	}
-	answers, sent, err := lease.Exchange(j.tryDeadline(execution), append(setup, statement)...)
+	answers, sent, err := lease.Exchange(deadline, statement)
 	if err != nil {
 		lease.Release(false)
 		execution.avoid = lease.Target()
@@ -175,17 +180,7 @@
 		}
 		return rosemary.Answer{}, tryRetry
 	}
-	if !allSucceeded(answers[:len(setup)]) {
-		// The statement may have run with the wrong session settings.
-		logRefusedSetup(lease, setup, statement, answers)
-		lease.Release(false)
-		if statement.Writes && answers[len(setup)].Failure.MayHaveRun() {
-			return rosemary.Answer{}, tryUnknown
-		}
-		return rosemary.Answer{}, tryRetry
-	}
-	lease.SetSessionState(state)
-	answer := answers[len(setup)]
+	answer := answers[0]
 	result := j.classify(execution, lease, answer)
 	lease.Release(answer.TransactionState == rosemary.TransactionNone)
 	return answer, result
--- a/pkg/rosecaller/session_state.go
+++ b/pkg/rosecaller/session_state.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -32,19 +33,41 @@
 	return statement
 }
 
+// applySession applies the session's settings and prepared statements, as far as statement needs
+// them, to a connection, and reports whether the target has acknowledged all of them. Statement
+// must not be sent before: a target runs what follows a statement that it has refused.
+func (j *job) applySession(lease *rosefleet.ConnLease, deadline time.Time, statement rosemary.Statement) (bool, error) {
+	current, _ := lease.SessionState().(*sessionState)
+	setup, state := j.task.setupStatements(current, statement)
+	if len(setup) == 0 {
+		return true, nil
+	}
+	answers, _, err := lease.Exchange(deadline, setup...)
+	if err != nil {
+		return false, err
+	}
+	for i, a := range answers {
+		if a.Failure != rosemary.FailureNone {
+			klog.InfoS("session not applied", "target", lease.Target(), "kind", setup[i].Kind.String(), "code", a.Code, "for", statement.Kind.String(), "id", statement.ID)
+			return false, nil
+		}
+	}
+	lease.SetSessionState(state)
+	return true, nil
+}
+
 // setupStatements returns the statements that apply the session's settings and
 // prepared statements to a connection, and its state once they have run.
-func (j *job) setupStatements(lease *rosefleet.ConnLease, statement rosemary.Statement) ([]rosemary.Statement, *sessionState) {
+func (t Task) setupStatements(current *sessionState, statement rosemary.Statement) ([]rosemary.Statement, *sessionState) {
 	var statements []rosemary.Statement
-	next := &sessionState{settings: j.task.Settings, prepared: make(map[string]bool)}
-	current, _ := lease.SessionState().(*sessionState)
-	if current != nil && namesWithin(current.settings, j.task.Settings) {
+	next := &sessionState{settings: t.Settings, prepared: make(map[string]bool)}
+	if current != nil && namesWithin(current.settings, t.Settings) {
 		next.prepared = current.prepared
 	} else if current != nil {
 		statements = append(statements, rosemary.Statement{Kind: rosemary.StatementReset})
 		current = nil
 	}
-	for name, value := range j.task.Settings {
+	for name, value := range t.Settings {
 		if current != nil && current.settings[name] == value {
 			if _, isSet := current.settings[name]; isSet {
 				continue
@@ -53,25 +76,12 @@
 		statements = append(statements, rosemary.Statement{Kind: rosemary.StatementSet, Name: name, Payload: value})
 	}
 	if statement.Kind == rosemary.StatementExecute && !next.prepared[statement.Name] {
-		statements = append(statements, j.task.Prepared)
+		statements = append(statements, t.Prepared)
 		next.prepared[statement.Name] = true
 	}
 	return statements, next
 }
 
-// logRefusedSetup logs that a target refused one of the statements that apply a session, with the
-// answer to the statement that was sent along with them.
-func logRefusedSetup(lease *rosefleet.ConnLease, setup []rosemary.Statement, statement rosemary.Statement, answers []rosemary.Answer) {
-	for i, s := range setup {
-		if answers[i].Failure != rosemary.FailureNone {
-			along := answers[len(setup)]
-			klog.InfoS("session not applied", "target", lease.Target(), "kind", s.Kind.String(), "code", answers[i].Code,
-				"along", statement.Kind.String(), "id", statement.ID, "alongRan", along.Failure.MayHaveRun(), "alongCode", along.Code)
-			return
-		}
-	}
-}
-
 // namesWithin reports whether other has every name that settings has.
 func namesWithin(settings, other map[string]string) bool {
 	for name := range settings {
--- a/pkg/rosecaller/transaction.go
+++ b/pkg/rosecaller/transaction.go
@@ -86,7 +86,9 @@
 			return nil
 		}
 	}
-	setup, state := j.setupStatements(lease, execution.statement)
+	// A begin without the session's settings changes nothing: the connection is closed then.
+	current, _ := lease.SessionState().(*sessionState)
+	setup, state := j.task.setupStatements(current, execution.statement)
 	answers, _, err := lease.Exchange(j.beginDeadline(execution), append(setup, begin)...)
 	if err != nil {
 		lease.Release(false)
@@ -113,20 +115,24 @@
 
 // runNextStatement runs a statement on the transaction's connection.
 func (j *job) runNextStatement(deadline time.Time, statement rosemary.Statement) (rosemary.Answer, *rosemary.Refusal) {
-	setup, state := j.setupStatements(j.lease, statement)
 	isCommit := statement.Kind == rosemary.StatementCommit
-	answers, sent, err := j.lease.Exchange(deadline, append(setup, statement)...)
+	applied, err := j.applySession(j.lease, deadline, statement)
 	if err != nil {
-		return rosemary.Answer{}, j.connectionLost(sent)
+		return rosemary.Answer{}, j.connectionLost(false)
 	}
-	if !allSucceeded(answers[:len(setup)]) {
-		logRefusedSetup(j.lease, setup, statement, answers)
+	if !applied {
 		j.discardLease()
 		j.transactionState = rosemary.TransactionFailed
+		if isCommit {
+			j.transactionState = rosemary.TransactionNone
+		}
 		return rosemary.Answer{}, aborted("the session's settings and prepared statements could not be applied on the target")
 	}
-	j.lease.SetSessionState(state)
-	answer := answers[len(setup)]
+	answers, sent, err := j.lease.Exchange(deadline, statement)
+	if err != nil {
+		return rosemary.Answer{}, j.connectionLost(sent)
+	}
+	answer := answers[0]
 	if isCommit {
 		return j.finishCommit(answer)
 	}
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -297,6 +297,10 @@
 		return answers, sent, err
 	}
 	last := answers[len(answers)-1]
+	if appliesSession(statements[len(statements)-1]) {
+		// It takes no slot, and the statement that it is for follows at once.
+		return answers, sent, nil
+	}
 	l.observeAnswer(last, sentAt, time.Since(started))
 	if last.TransactionState != rosemary.TransactionNone {
 		l.endpoint.pool.rest(l.pooled)
@@ -304,6 +308,15 @@
 	return answers, sent, nil
 }
 
+// appliesSession reports whether a statement only changes the session of a connection.
+func appliesSession(s rosemary.Statement) bool {
+	switch s.Kind {
+	case rosemary.StatementSet, rosemary.StatementPrepare, rosemary.StatementReset:
+		return true
+	}
+	return false
+}
+
 // observeOutcome records whether an exchange failed.
 func (l *ConnLease) observeOutcome(failed bool) {
 	g := l.group
