rosecaller: don't note a prepared statement before the target has it

A connection that went back to the pool without having sent them claimed a prepared statement that its target had never got, and the next session to execute it there was told that there is none.

Evidence: TestSessionStateIsThatOfTheTarget has sessions take turns on one connection, with statements refused or not sent, beside a model of the target's session.

The present state is immutable; the next one gets a copy.

--- a/pkg/rosecaller/session_state.go
+++ b/pkg/rosecaller/session_state.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -57,7 +58,8 @@
 }
 
 // setupStatements returns the statements that apply the session's settings and
-// prepared statements to a connection, and its state once they have run.
+// prepared statements to a connection, and its state once they have run. The current
+// state, nil for a new connection, stays as it is.
 func (t Task) setupStatements(current *sessionState, statement rosemary.Statement) ([]rosemary.Statement, *sessionState) {
 	var statements []rosemary.Statement
 	next := &sessionState{settings: t.Settings, prepared: make(map[string]bool)}
@@ -77,6 +79,8 @@
 	}
 	if statement.Kind == rosemary.StatementExecute && !next.prepared[statement.Name] {
 		statements = append(statements, t.Prepared)
+		// The connection's present state must not claim the name before the target knows it.
+		next.prepared = maps.Clone(next.prepared)
 		next.prepared[statement.Name] = true
 	}
 	return statements, next
