rosefront: send a claimed request only inside its transaction

What callers would see on PostgreSQL: a request with an identifier that runs twice, or one that never ran and is refused as one that did.

A target that refuses BEGIN runs what follows it on its own: the request also if its claim was refused as a repetition, and the claim also if the request failed or, with a BEGIN of the client, was never sent.

With BEGIN refused, the claim and the INSERT ran outside of a transaction, the client was told of success and the identifier counted as claimed; with a client's BEGIN refused, the claim ran alone.

BEGIN and the claim are one query now, which a target leaves at its first error, and the request follows once the transaction is open; a client's BEGIN is followed by its claim in the same way. It costs a round trip for requests with an identifier. A claim in an open transaction still goes along with its request, since its failure fails the transaction.

--- a/internal/rosefront/execute.go
+++ b/internal/rosefront/execute.go
@@ -79,7 +79,9 @@
 	inTransaction bool
 	cancelSent    bool
 	requestSent   bool
-	// claimError is the target's error in response to the claim.
+	// claimed is set once the target has accepted the claim, and claimError is its error in
+	// response to it, or to the BEGIN before it.
+	claimed    bool
 	claimError *pgproto3.ErrorResponse
 	// position is the target's answer to positionQuery, and positionQueried is
 	// set if the exchange included that query.
@@ -101,6 +103,11 @@
 		}
 		messages, reader.replies, evicted = t.messages, t.replies, t.evicted
 	}
+	if r.claimPlacement == claimWrapped {
+		if err := e.beginClaimed(ctx); err != nil || e.claimError != nil {
+			return err
+		}
+	}
 	e.requestSent = true
 	if !r.isLastPart() {
 		return e.runPart(ctx, reader, messages)
@@ -108,6 +115,11 @@
 	if err := conn.Exchange(ctx, e.steps(reader, messages)...); err != nil {
 		return err
 	}
+	if r.claimPlacement == claimAfter && conn.TxStatus() == 'T' {
+		if err := conn.Exchange(ctx, e.claimStep()); err != nil {
+			return err
+		}
+	}
 	if reader.failed && evicted {
 		// The target may have skipped the Close of the evicted statement.
 		conn.Close()
@@ -119,27 +131,35 @@
 	return e.recordPosition(ctx)
 }
 
-// steps combines the claim, the request and positionQuery in one exchange, to
-// save round trips.
+// beginClaimed opens a transaction for the request and claims its identifier in it. The request
+// isn't sent along: a target that refuses BEGIN would run it without the claim. In one query the
+// claim isn't run after a refused BEGIN.
+func (e *execution) beginClaimed(ctx context.Context) error {
+	begin := rosepool.Step{Messages: oneMessage(&pgproto3.Query{String: "BEGIN; " + claimQuery(e.request.requestID).String}), Receive: e.receiveClaim}
+	if err := e.lease.Conn.Exchange(ctx, begin); err != nil {
+		return err
+	}
+	if e.claimError == nil {
+		return nil
+	}
+	e.finishClaim()
+	return e.lease.Conn.Exchange(ctx, rosepool.Step{Messages: oneMessage(&pgproto3.Query{String: "ROLLBACK"})})
+}
+
+// claimStep claims the request's identifier.
+func (e *execution) claimStep() rosepool.Step {
+	return rosepool.Step{Messages: oneMessage(claimQuery(e.request.requestID)), Receive: e.receiveClaim}
+}
+
+// steps combines the request, what ends its own transaction and positionQuery in one exchange,
+// to save round trips. A claim that fails in the client's transaction fails the request too.
 func (e *execution) steps(reader *replyReader, messages []pgproto3.FrontendMessage) []rosepool.Step {
-	r := e.request
-	body := rosepool.Step{Messages: messages, Receive: reader.receive}
-	claim := rosepool.Step{Messages: oneMessage(claimQuery(r.requestID)), Receive: e.receiveClaim}
-	var steps []rosepool.Step
-	switch r.claimPlacement {
+	steps := []rosepool.Step{{Messages: messages, Receive: reader.receive}}
+	switch e.request.claimPlacement {
 	case claimWrapped:
-		steps = []rosepool.Step{
-			{Messages: oneMessage(&pgproto3.Query{String: "BEGIN"})},
-			claim,
-			body,
-			{Messages: oneMessage(&pgproto3.Query{String: "COMMIT"}), Receive: e.receiveCommit},
-		}
+		steps = append(steps, rosepool.Step{Messages: oneMessage(&pgproto3.Query{String: "COMMIT"}), Receive: e.receiveCommit})
 	case claimBefore:
-		steps = []rosepool.Step{claim, body}
-	case claimAfter:
-		steps = []rosepool.Step{body, claim}
-	default:
-		steps = []rosepool.Step{body}
+		steps = append([]rosepool.Step{e.claimStep()}, steps...)
 	}
 	if e.mayCommit() {
 		e.positionQueried = true
@@ -171,9 +191,12 @@
 }
 
 func (e *execution) receiveClaim(message pgproto3.BackendMessage) error {
-	if m, failed := message.(*pgproto3.ErrorResponse); failed {
+	switch m := message.(type) {
+	case *pgproto3.ErrorResponse:
 		failure := *m
 		e.claimError = &failure
+	case *pgproto3.ReadyForQuery:
+		e.claimed = e.claimError == nil
 	}
 	return nil
 }
@@ -207,7 +230,7 @@
 // the error that the request got as a consequence.
 func (e *execution) finishClaim() {
 	if e.claimError == nil {
-		if e.request.claimPlacement != claimNone {
+		if e.claimed {
 			e.request.client.claimedID = e.request.requestID
 		}
 		return
