rosesupervisor: a lapsed holder resumes once all prove that nobody claimed

Cause: that promises prove nothing of the time before they are given was answered by giving up, though those who promise know what they have claimed.

A promise now says for how long the process that gives it has claimed none of the locks asked about, since its start at most. A lapsed holder whose proof ended later than that, for each of those that have to promise, holds them without a gap. A proxy also refuses if it has seen a later claim in a list, so that a holder which is gone counts too. A holder that knows of no other proxy doesn't resume.

The reply gains the field UnclaimedMs; without it, from a build before, the holder stays out as it did.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -210,8 +210,9 @@
 func (n *Node) answerQuestion(from rosemary.ProxyID, question rosewire.Question) rosewire.Reply {
 	switch question.About {
 	case rosepeer.AboutAbstain:
-		yes := n.locks.Abstain(from, decodeLocks(question.Locks))
-		return rosewire.Reply{Yes: yes, Known: true}
+		unclaimed, promised := n.locks.Abstain(from, decodeLocks(question.Locks))
+		unclaimedMs := uint64(unclaimed.Milliseconds())
+		return rosewire.Reply{Yes: promised, Known: true, UnclaimedMs: &unclaimedMs}
 	case rosepeer.AboutLockReleased:
 		n.locks.RefreshNow()
 		return rosewire.Reply{Yes: true, Known: true}
@@ -269,14 +270,24 @@
 }
 
 // RequestAbstention asks all connected peers not to claim failover locks for a while,
-// and returns those that promised it, and all that were asked. It asks none if this proxy
-// isn't linked to all, whose promises are needed.
-func (p peers) RequestAbstention(ctx context.Context, claims []rosesupervisor.ClaimedLock) (promised, asked []rosemary.ProxyID) {
+// and returns their promises, and all that were asked. It asks none if this proxy isn't linked
+// to all, whose promises are needed.
+func (p peers) RequestAbstention(ctx context.Context, claims []rosesupervisor.ClaimedLock) (promises []rosesupervisor.Promise, asked []rosemary.ProxyID) {
 	if !p.mesh.FullMesh() {
 		return nil, p.others()
 	}
 	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutAbstain, Locks: encodeLocks(claims)})
-	return agreedPeers(replies), asked
+	for _, r := range replies {
+		if !r.Yes {
+			continue
+		}
+		promise := rosesupervisor.Promise{From: r.From}
+		if r.UnclaimedMs != nil {
+			promise.Unclaimed = time.Duration(*r.UnclaimedMs) * time.Millisecond
+		}
+		promises = append(promises, promise)
+	}
+	return promises, asked
 }
 
 func encodeLocks(claims []rosesupervisor.ClaimedLock) []rosewire.ClaimedLock {
--- a/pkg/rosesupervisor/lock_claim.go
+++ b/pkg/rosesupervisor/lock_claim.go
@@ -185,7 +185,10 @@
 	if l.lease != lease {
 		return
 	}
-	l.held[group] = lockClaim{claimedAt, l.config.Clock.Now()}
+	now := l.config.Clock.Now()
+	l.recordClaim(group, generation(l.epoch.number, claimedAt), l.config.Self.Proxy)
+	l.held[group] = lockClaim{claimedAt, now}
+	l.claimedAt[group] = now
 	l.holders[group] = l.config.Self.Proxy
 	klog.InfoS("duty claimed", "group", group, "generation", generation(l.epoch.number, claimedAt), "epoch", l.epoch.number, "revision", claimedAt, "lease", lease)
 }
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -116,9 +116,8 @@
 // Peers sends requests about locks to the other proxies.
 type Peers interface {
 	// RequestAbstention asks all not to claim locks for abstainDuration, so that this
-	// proxy keeps those of claims. It returns those that promised it, and all that were
-	// asked.
-	RequestAbstention(ctx context.Context, claims []ClaimedLock) (promised, asked []rosemary.ProxyID)
+	// proxy keeps those of claims. It returns the promises, and all that were asked.
+	RequestAbstention(ctx context.Context, claims []ClaimedLock) (promises []Promise, asked []rosemary.ProxyID)
 	// NotifyLockReleased tells a proxy that a group's lock is free, so that it claims
 	// the lock without waiting for its next refresh.
 	NotifyLockReleased(ctx context.Context, to rosemary.ProxyID, group string)
@@ -163,9 +162,13 @@
 	// storeFailing is set while the store can't be reached to renew or grant a
 	// lease.
 	storeFailing bool
+	// newestClaims maps groups to the greatest generation with which their locks are known to
+	// have been claimed, and claimedAt to when this process last claimed them.
+	newestClaims map[string]int64
+	claimedAt    map[string]time.Time
 	// peersAbstainUntil is the time until which every other proxy has promised
-	// to claim no lock, without a gap since the lease, and abstainUntil that of this
-	// proxy's own promise.
+	// to claim no lock, and has claimed none since the lease, and abstainUntil that of
+	// this proxy's own promise.
 	peersAbstainUntil time.Time
 	abstainUntil      time.Time
 	// reportedExtension and reportedPromises are what was last logged about the locks kept
@@ -212,6 +215,8 @@
 
 		notClaimableSince: make(map[string]time.Time),
 		reportedPromises:  make(map[rosemary.ProxyID]string),
+		newestClaims:      make(map[string]int64),
+		claimedAt:         make(map[string]time.Time),
 	}
 }
 
--- a/pkg/rosesupervisor/lock_register.go
+++ b/pkg/rosesupervisor/lock_register.go
@@ -171,6 +171,9 @@
 		l.epoch.settle()
 		l.epoch.recorded = true
 	}
+	for group, item := range locks {
+		l.newestClaims[group] = max(l.newestClaims[group], generation(l.epoch.number, item.Revision))
+	}
 	l.members = l.epoch.withEarlierMembers(members)
 	for zone, hosts := range usageHosts {
 		l.setUsageHosts(zone, hosts)
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -375,6 +375,10 @@
 	// for.
 	Targets []Registration `cbor:"Targets,omitempty"`
 
+	// UnclaimedMs is, in answer to an Abstain that names locks, for how long the
+	// sender has claimed none of them.
+	UnclaimedMs *uint64 `cbor:"UnclaimedMs,omitempty"`
+
 	// Version is the configuration in force at the peer; only in replies about Store.
 	Version *uint64 `cbor:"Version,omitempty"`
 
