rosesoak: hand out each address once

Cause: an address was free if nobody listened on it. A process listens long after its settings are written, so two could be given the same one.

The soak keeps the addresses that it has handed out.

--- a/internal/rosesoak/process.go
+++ b/internal/rosesoak/process.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,35 +36,6 @@
 	disrupted bool
 }
 
-const (
-	// minPort and maxPort lie below the system's range for outgoing connections,
-	// which could otherwise take the port of a process that is down.
-	minPort = 15000
-	maxPort = 30000
-	// maxPortAttempts bounds the random ports that freeAddress tries.
-	maxPortAttempts = 100
-)
-
-// newLoopbackHost returns a random loopback address without a port. Each soak listens
-// on one of its own, so that none takes a port of another's process that is down.
-func newLoopbackHost() string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-}
-
-// freeAddress returns an address of a loopback host that nothing listens on.
-func freeAddress(host string) (string, error) {
-	var lastErr error
-	for range maxPortAttempts {
-		address := fmt.Sprintf("%s:%d", host, minPort+rand.IntN(maxPort-minPort))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, trace.ConvertSystemError(listener.Close())
-		}
-		lastErr = err
-	}
-	return "", trace.ConvertSystemError(lastErr)
-}
-
 const settingsTemplate = `Name = %q
 Zone = %q
 
@@ -89,24 +58,24 @@
 `
 
 // newProcess writes the settings of a process without starting it.
-func newProcess(directory, program, host, name, zone, storeAddress, promoterAddress string) (*process, error) {
-	var addresses []any
+func newProcess(directory, program string, addresses *addressPool, name, zone, storeAddress, promoterAddress string) (*process, error) {
+	var listened []any
 	for range 4 {
-		address, err := freeAddress(host)
+		address, err := addresses.take()
 		if err != nil {
 			return nil, err
 		}
-		addresses = append(addresses, address)
+		listened = append(listened, address)
 	}
 	relay, err := newTCPRelay(storeAddress)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	p := &process{
-		name: name, zone: zone, program: program, storeRelay: relay, address: addresses[0].(string),
+		name: name, zone: zone, program: program, storeRelay: relay, address: listened[0].(string),
 		settingsPath: filepath.Join(directory, name+".toml"), logPath: filepath.Join(directory, name+".log"),
 	}
-	values := append([]any{name, zone}, addresses...)
+	values := append([]any{name, zone}, listened...)
 	text := fmt.Sprintf(settingsTemplate, append(values, relay.address(), promoterAddress, graceTime.String())...)
 	return p, trace.ConvertSystemError(os.WriteFile(p.settingsPath, []byte(text), 0o600))
 }
--- a/internal/rosesoak/soak.go
+++ b/internal/rosesoak/soak.go
@@ -76,8 +76,8 @@
 	config  Config
 	random  *rand.Rand
 	started time.Time
-	// host is the loopback address that the proxies and targets listen on.
-	host      string
+	// addresses are those that the proxies and targets listen on.
+	addresses *addressPool
 	store     *rosestandin.Store
 	group     *rosestandin.Group
 	promoter  *rosestandin.Promoter
@@ -108,7 +108,7 @@
 		config.Out = io.Discard
 	}
 	s := &soak{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), started: time.Now(), host: newLoopbackHost(), store: rosestandin.NewStore(),
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), started: time.Now(), addresses: newAddressPool(), store: rosestandin.NewStore(),
 		report: Report{Outcomes: make(map[string]int)},
 	}
 	defer s.close()
@@ -164,7 +164,7 @@
 	}
 	rosestandin.PutConfiguration(s.store, 1, maxConnections)
 	for n := range s.config.ProxiesPerZone * len(zones) {
-		p, err := newProcess(s.config.Directory, s.config.Program, s.host, fmt.Sprint("proxy-", n+1), zones[n%len(zones)], storeAddress, promoterAddress)
+		p, err := newProcess(s.config.Directory, s.config.Program, s.addresses, fmt.Sprint("proxy-", n+1), zones[n%len(zones)], storeAddress, promoterAddress)
 		if err != nil {
 			return err
 		}
@@ -179,7 +179,7 @@
 // serveTarget starts a target on an address that it keeps across restarts, and
 // registers it under the address of its relay.
 func (s *soak) serveTarget(ctx context.Context, registered rosemary.Target) error {
-	address, err := freeAddress(s.host)
+	address, err := s.addresses.take()
 	if err != nil {
 		return err
 	}
