node: a proxy that its peers don't hear uses no primary

What callers could see: reads and writes at a primary that had been replaced, through a proxy that no other one knew of any more. A proxy whose registration has ended relied on a primary for as long as messages of a peer arrived, 7 s at the most after the last one. That it hears a peer doesn't prove that the peer hears it; and on the runtime's clock, which stops while a VM is suspended, what had arrived before a suspension, or was waiting in the socket when it woke, counted as news.

Cause: the belief (a peer knows me) rested on something else than what proves it.

A heartbeat now says when it was sent (SentMs), and the peer's next one repeats that while it takes the sender for live (EchoMs). The sender is known for as long after that time as its peers wait for a silent one, on a clock that counts suspensions. The time starts at random, so an echo of the process before means nothing to its successor. A heartbeat costs up to 32 bytes more. A build without the fields echoes nothing and so proves nothing; it ignores them.

The simulated network can hold up one direction of a path.

--- a/internal/rosenet/network.go
+++ b/internal/rosenet/network.go
@@ -38,15 +38,18 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// changed is closed and replaced whenever blocked changes.
+	// changed is closed and replaced whenever blocked or blockedOneWay changes.
 	changed chan struct{}
 	// hosts maps the address of a listener to its host. It keeps the addresses
 	// of closed listeners.
 	hosts     map[string]Host
 	listeners map[string]*memoryListener
 	blocked   func(from, to Host) bool
-	streams   map[*stream]struct{}
-	tasks     sync.WaitGroup
+	// blockedOneWay reports whether data from a sender to a receiver is blocked.
+	blockedOneWay func(sender, receiver Host) bool
+
+	streams map[*stream]struct{}
+	tasks   sync.WaitGroup
 }
 
 // NewNetwork returns a network without hosts.
@@ -96,6 +99,16 @@
 	n.changed = make(chan struct{})
 }
 
+// SetBlockedOneWay sets the predicate that reports whether data from a sender to a receiver is
+// blocked, whichever of them dialed; nil unblocks all. It works beside SetBlocked.
+func (n *Network) SetBlockedOneWay(blocked func(sender, receiver Host) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blockedOneWay = blocked
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 // StallStreams stops all delivery on open streams to or from the host, which
 // SetBlocked can't undo. Streams opened later work.
 func (n *Network) StallStreams(name string) {
@@ -139,10 +152,17 @@
 	return n.blocked != nil && n.blocked(from, to), n.changed
 }
 
+// oneWayBlocked reports whether data from a sender to a receiver is blocked in this direction.
+func (n *Network) oneWayBlocked(sender, receiver Host) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.blockedOneWay != nil && n.blockedOneWay(sender, receiver)
+}
+
 func (n *Network) waitReachable(ctx context.Context, from, to Host) error {
 	for {
 		blocked, changed := n.pathState(from, to)
-		if !blocked {
+		if !blocked && !n.oneWayBlocked(from, to) && !n.oneWayBlocked(to, from) {
 			return nil
 		}
 		select {
--- a/internal/rosenet/stream.go
+++ b/internal/rosenet/stream.go
@@ -94,8 +94,8 @@
 	})
 	n.tasks.Go(func() {
 		var copies sync.WaitGroup
-		copies.Go(func() { s.copyDelayed(networkConn, listenerConn, delay) })
-		copies.Go(func() { s.copyDelayed(listenerConn, networkConn, delay) })
+		copies.Go(func() { s.copyDelayed(networkConn, listenerConn, delay, from, to) })
+		copies.Go(func() { s.copyDelayed(listenerConn, networkConn, delay, to, from) })
 		copies.Wait()
 		stop()
 		cancel()
@@ -106,16 +106,16 @@
 	return &dialedConn{Conn: clientConn, stream: s}
 }
 
-// copyDelayed copies data from source to sink until either is closed or the
+// copyDelayed copies data of the sender from source to sink until either is closed or the
 // stream is blocked for too long. It then closes both and waits for readChunks.
-func (s *stream) copyDelayed(source, sink net.Conn, delay time.Duration) {
+func (s *stream) copyDelayed(source, sink net.Conn, delay time.Duration, sender, receiver Host) {
 	queue := make(chan chunk, maxQueuedChunks)
 	stop := make(chan struct{})
 	go func() {
 		defer close(queue)
 		s.readChunks(source, queue, delay, stop)
 	}()
-	s.writeChunks(sink, queue)
+	s.writeChunks(sink, queue, sender, receiver)
 	close(stop)
 	sink.Close()
 	source.Close()
@@ -142,9 +142,9 @@
 	}
 }
 
-func (s *stream) writeChunks(sink net.Conn, queue <-chan chunk) {
+func (s *stream) writeChunks(sink net.Conn, queue <-chan chunk, sender, receiver Host) {
 	for c := range queue {
-		if !roseclock.Sleep(s.ctx, time.Until(c.deliverAt)) || !s.waitUnblocked() {
+		if !roseclock.Sleep(s.ctx, time.Until(c.deliverAt)) || !s.waitUnblocked(sender, receiver) {
 			return
 		}
 		select {
@@ -157,15 +157,16 @@
 		}
 	}
 	// A blocked stream doesn't deliver the close of its source either.
-	s.waitUnblocked()
+	s.waitUnblocked(sender, receiver)
 }
 
-// waitUnblocked waits while the stream is blocked or stalled. It reports false if
+// waitUnblocked waits while the stream is blocked for a sender's data or stalled. It reports false if
 // the stream ends or this takes longer than stallTimeout; each SetBlocked restarts
 // the timeout of a stream that isn't stalled.
-func (s *stream) waitUnblocked() bool {
+func (s *stream) waitUnblocked(sender, receiver Host) bool {
 	for {
 		blocked, changed := s.network.pathState(s.from, s.to)
+		blocked = blocked || s.network.oneWayBlocked(sender, receiver)
 		select {
 		case <-s.stalled:
 			blocked = true
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -76,6 +76,7 @@
 			FullMeshSize:      peerFullMeshSize,
 		},
 		Dialer:       n.config.PeerDialer,
+		Clock:        n.config.Clock,
 		TickInterval: peerTickInterval,
 		OnEvent:      n.handlePeerEvent,
 		// Proxies on the platform don't forward cancel requests, lend each other
@@ -130,16 +131,16 @@
 }
 
 // allowPrimary reports whether this proxy may rely on a primary. A proxy whose
-// lease in the store has expired and that is connected to no peer may not: the
+// lease in the store has expired and that no peer hears may not: the
 // proxy that replaces a primary doesn't know of it, and can't tell it to stop
 // using the old one. This is looked at whenever the primary is used, as a lease may
 // end at any time.
 func (n *Node) allowPrimary() bool { return !n.isIsolated() }
 
-// isIsolated reports whether this proxy is neither registered in the store nor linked to
+// isIsolated reports whether this proxy is neither registered in the store nor known to
 // another one.
 func (n *Node) isIsolated() bool {
-	return !n.mesh.Linked() && !n.locks.Registered() && n.locks.KnowsOthers()
+	return !n.mesh.KnownToPeer() && !n.locks.Registered() && n.locks.KnowsOthers()
 }
 
 // configurationText returns the text of the configuration in force, for a peer.
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
 )
@@ -29,6 +31,8 @@
 	// sendQueueLength is the number of messages that may wait on one link; a
 	// link that falls further behind is closed and reopened.
 	sendQueueLength = 512
+	// maxFirstSentMs bounds the random start of SentMs, which mustn't overflow.
+	maxFirstSentMs = 1 << 62
 	// maxMessageBytes is the largest message accepted from a peer.
 	maxMessageBytes = 2 << 20
 )
@@ -37,6 +41,9 @@
 type Config struct {
 	Node   NodeConfig
 	Dialer rosemary.Dialer
+	// Clock dates heartbeats. It should advance while the VM is suspended; nil stands for the
+	// runtime's.
+	Clock roseclock.Clock
 	// TLS authenticates both ends; nil disables it.
 	TLS *tls.Config
 	// OnEvent receives changes. It must not block.
@@ -73,11 +80,12 @@
 	// done is closed when Run ends, to stop links that peers opened.
 	done chan struct{}
 
-	// heardAt is when a message last arrived, in nanoseconds since created, and linked what
-	// Linked returns.
-	heardAt atomic.Int64
-	created time.Time
-	linked  atomic.Bool
+	// created is the time of Config.Clock at which SentMs of heartbeats was firstSentMs. That
+	// is random, so that an echo of an earlier process of this proxy isn't taken for one of this.
+	created     time.Time
+	firstSentMs uint64
+	// knownUntil is until when a peer takes this proxy for live, in nanoseconds since created.
+	knownUntil atomic.Int64
 
 	mu    sync.Mutex
 	node  *Node
@@ -110,6 +118,9 @@
 	if config.TickInterval <= 0 {
 		config.TickInterval = defaultTickInterval
 	}
+	if config.Clock == nil {
+		config.Clock = roseclock.Runtime{}
+	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return config.Dialer.Dial(ctx, address)
@@ -122,12 +133,14 @@
 		client:   &http.Client{Transport: transport},
 		scheme:   "ws://",
 		done:     make(chan struct{}),
-		created:  time.Now(),
+		created:  config.Clock.Now(),
 		node:     NewNode(config.Node),
 		links:    make(map[rosemary.ProxyID]*link),
 		dialedAt: make(map[rosemary.ProxyID]time.Time),
 		fetches:  make(map[fetchKey][]chan string),
 		queries:  make(map[uint64]chan<- PeerReply),
+
+		firstSentMs: rand.Uint64N(maxFirstSentMs),
 	}
 	if config.TLS != nil {
 		m.scheme = "wss://"
@@ -171,8 +184,6 @@
 	m.runStep(func(n *Node) ([]Envelope, []Event) { return n.Tick(now) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	heardAt := m.heardAt.Load()
-	m.linked.Store(heardAt > 0 && now.Sub(m.created)-time.Duration(heardAt) <= m.node.deathTime())
 	for _, id := range m.node.Neighbours() {
 		if m.links[id] != nil || now.Sub(m.dialedAt[id]) < redialInterval+dialTimeout {
 			continue
@@ -210,6 +221,10 @@
 	if l == nil {
 		return
 	}
+	if e.Message.Heartbeat != nil {
+		sentMs := m.firstSentMs + uint64(m.elapsed().Milliseconds())
+		e.Message.Heartbeat.SentMs = &sentMs
+	}
 	body, err := cbor.Marshal(e.Message)
 	if err != nil {
 		return
@@ -224,7 +239,6 @@
 }
 
 func (m *Mesh) receive(from rosemary.ProxyID, message rosewire.Message) {
-	m.heardAt.Store(max(int64(time.Since(m.created)), 1))
 	switch {
 	case message.Cancel != nil:
 		m.config.OnCancel(uint32(message.Cancel.ProcessID), uint32(message.Cancel.Secret))
@@ -246,8 +260,27 @@
 		now := time.Now()
 		m.runStep(func(n *Node) ([]Envelope, []Event) { return n.Receive(now, from, message) })
 	}
+	if message.Heartbeat != nil && message.Heartbeat.EchoMs != nil {
+		m.receiveEcho(*message.Heartbeat.EchoMs)
+	}
 }
 
+// receiveEcho records that a peer has received the heartbeat of sentMs. It takes this proxy for
+// live until the heartbeats that follow are overdue.
+func (m *Mesh) receiveEcho(sentMs uint64) {
+	elapsed := m.elapsed()
+	if sentMs < m.firstSentMs || sentMs-m.firstSentMs > uint64(elapsed.Milliseconds()) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	until := time.Duration(sentMs-m.firstSentMs)*time.Millisecond + m.node.deathTime()
+	m.knownUntil.Store(max(m.knownUntil.Load(), int64(until)))
+}
+
+// elapsed returns the time since the mesh was created.
+func (m *Mesh) elapsed() time.Duration { return m.config.Clock.Now().Sub(m.created) }
+
 func (m *Mesh) sendTo(to rosemary.ProxyID, message rosewire.Message) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -383,9 +416,10 @@
 	return m.node.View()
 }
 
-// Linked reports whether a message of any peer has arrived so lately that the peers don't take
-// this proxy for dead. A link that has gone silent stays open for longer. It takes no lock.
-func (m *Mesh) Linked() bool { return m.linked.Load() }
+// KnownToPeer reports whether a peer has confirmed a heartbeat of this proxy that was sent so
+// lately that it doesn't take this proxy for dead. Neither an open link nor a message of the peer
+// proves that, and a build that doesn't confirm heartbeats proves nothing. It takes no lock.
+func (m *Mesh) KnownToPeer() bool { return int64(m.elapsed()) < m.knownUntil.Load() }
 
 // LinkedPeers returns the peers that this proxy has a link to.
 func (m *Mesh) LinkedPeers() []rosemary.ProxyID {
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -74,6 +74,8 @@
 	neighbourSince time.Time
 	stateChangedAt time.Time
 	bundleVersion  uint64
+	// echo is the SentMs of its last heartbeat, nil if that had none.
+	echo *uint64
 }
 
 // Envelope is a message addressed to one proxy.
@@ -294,19 +296,24 @@
 		return envelopes, events
 	}
 	n.lastHeartbeatSent = now
-	heartbeat := n.heartbeat()
 	for _, id := range n.Neighbours() {
-		envelopes = append(envelopes, Envelope{id, heartbeat})
+		envelopes = append(envelopes, Envelope{id, n.heartbeat(id)})
 	}
 	return envelopes, events
 }
 
-func (n *Node) heartbeat() rosewire.Message {
-	return rosewire.Message{Heartbeat: &rosewire.Heartbeat{
+// heartbeat returns a heartbeat for a peer. It echoes the peer's last one only while the peer
+// counts as live here.
+func (n *Node) heartbeat(to rosemary.ProxyID) rosewire.Message {
+	heartbeat := rosewire.Heartbeat{
 		Incarnation:   n.incarnation,
 		BundleVersion: n.bundleVersion,
 		Draining:      n.draining,
-	}}
+	}
+	if n.Live(to) {
+		heartbeat.EchoMs = n.peers[to].echo
+	}
+	return rosewire.Message{Heartbeat: &heartbeat}
 }
 
 // heartbeatInterval returns the time between heartbeats. It is longer for a
--- a/pkg/rosepeer/receive.go
+++ b/pkg/rosepeer/receive.go
@@ -17,7 +17,7 @@
 	case message.Heartbeat != nil:
 		events = n.receiveHeartbeat(now, from, *message.Heartbeat)
 		if _, chosen := slices.BinarySearch(n.Neighbours(), from); !chosen {
-			return append(n.flushUrgent(), Envelope{from, n.heartbeat()}), events
+			return append(n.flushUrgent(), Envelope{from, n.heartbeat(from)}), events
 		}
 	case message.News != nil:
 		if len(n.pending.Members) == 0 {
@@ -61,6 +61,7 @@
 		return nil
 	}
 	p.lastSeen = now
+	p.echo = heartbeat.SentMs
 	p.bundleVersion = heartbeat.BundleVersion
 	if heartbeat.Draining || heartbeat.Incarnation < p.incarnation {
 		return nil
--- a/pkg/rosepeer/tunnel_test.go
+++ b/pkg/rosepeer/tunnel_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rosemarywell/rosemarywell/internal/rosenet"
+	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
 	"github.com/rosemarywell/rosemarywell/pkg/rosepeer"
 	"github.com/rosemarywell/rosemarywell/pkg/rosewire"
@@ -17,6 +18,10 @@
 
 // startMesh runs the mesh of one proxy on network until ctx ends.
 func startMesh(ctx context.Context, c *qt.C, network *rosenet.Network, name, zone string, seeds ...rosemary.Member) (*rosepeer.Mesh, rosemary.Member) {
+	return startMeshWithClock(ctx, c, network, name, zone, nil, seeds...)
+}
+
+func startMeshWithClock(ctx context.Context, c *qt.C, network *rosenet.Network, name, zone string, clock roseclock.Clock, seeds ...rosemary.Member) (*rosepeer.Mesh, rosemary.Member) {
 	place := rosenet.Host{Name: name, Zone: zone}
 	listener, err := network.Listen(place, "")
 	c.Assert(err, qt.IsNil)
@@ -24,6 +29,7 @@
 	mesh := rosepeer.NewMesh(rosepeer.Config{
 		Node:                rosepeer.NodeConfig{Self: member, Incarnation: 1},
 		Dialer:              network.Dialer(place),
+		Clock:               clock,
 		OnEvent:             func(rosepeer.Event) {},
 		OnCancel:            func(uint32, uint32) {},
 		OnConnectionRequest: func(rosemary.ProxyID, rosewire.Ask) rosewire.Grant { return rosewire.Grant{} },
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -109,11 +109,19 @@
 	// Draining is set while the sender shuts down.
 	Draining bool `cbor:"Draining"`
 
+	// EchoMs is the SentMs of the last Heartbeat that the sender has received from
+	// the receiver; absent if there is none.
+	EchoMs *uint64 `cbor:"EchoMs,omitempty"`
+
 	// Incarnation is the incarnation of the sender.
 	Incarnation uint64 `cbor:"Incarnation"`
 
 	// Known is unused and always zero.
 	Known uint64 `cbor:"Known"`
+
+	// SentMs is when this was sent, on a clock of the sender's own that starts
+	// anywhere.
+	SentMs *uint64 `cbor:"SentMs,omitempty"`
 }
 
 // Hello is the first message on a connection between proxies.
