node: proxies that most others don't know use no primary

What callers could see: after a planned replacement, reads at the old primary that lacked writes acknowledged by the new one, through proxies that were cut off from the store and the other proxies, but not from each other and the targets. A proxy whose registration had ended went on for as long as any peer knew it; two that are cut off together know each other. The holder of the failover lock knew neither, took it that all had confirmed to have stopped, and neither fenced the replicas nor waited for leases.

The same for a proxy that lacks a link to the holder alone and isn't registered: in a full mesh only linked peers were asked, not those that live elsewhere in the mesh.

An unregistered proxy now needs a majority of the proxies that haven't left to know it, and the holder needs a majority to confirm, and all that live, linked or not. Two majorities share a proxy, through which the mesh of each side knows the other. Without that the replicas are fenced and the leases waited for, which needs to know nobody. A proxy that most don't know forgets no dead one, as it can't tell it from one behind the partition.

No message, entry or lock changes with this.

--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -131,16 +131,16 @@
 }
 
 // allowPrimary reports whether this proxy may rely on a primary. A proxy whose
-// lease in the store has expired and that no peer hears may not: the
+// lease in the store has expired and that most others don't hear may not: the
 // proxy that replaces a primary doesn't know of it, and can't tell it to stop
 // using the old one. This is looked at whenever the primary is used, as a lease may
 // end at any time.
 func (n *Node) allowPrimary() bool { return !n.isIsolated() }
 
 // isIsolated reports whether this proxy is neither registered in the store nor known to
-// another one.
+// most of the others.
 func (n *Node) isIsolated() bool {
-	return !n.mesh.KnownToPeer() && !n.locks.Registered() && n.locks.KnowsOthers()
+	return !n.mesh.KnownToMost() && !n.locks.Registered() && n.locks.KnowsOthers()
 }
 
 // configurationText returns the text of the configuration in force, for a peer.
@@ -347,17 +347,26 @@
 }
 
 // RevokePrimary asks all connected peers to stop using the primary of term. It
-// returns those that have, and all that were asked. If this proxy isn't linked to all, it
-// tells the group's homes, and counts the others as asked.
+// returns those that have, and all that should: the others that live, linked or not. If this
+// proxy isn't linked to all, it tells the group's homes.
 func (p peers) RevokePrimary(ctx context.Context, group string, term uint64) (stopped, asked []rosemary.ProxyID) {
 	if !p.mesh.FullMesh() {
 		replies := p.mesh.QueryUntil(ctx, rosewire.Question{About: rosepeer.AboutPrimaryRevoked, Group: group, Term: term}, p.users(group), nil)
 		return agreedPeers(replies), p.others()
 	}
 	replies, asked := p.mesh.QueryAll(ctx, rosewire.Question{About: rosepeer.AboutPrimaryRevoked, Group: group, Term: term})
+	// Others know a proxy to which this one has no link.
+	for _, id := range p.others() {
+		if !slices.Contains(asked, id) {
+			asked = append(asked, id)
+		}
+	}
 	return agreedPeers(replies), asked
 }
 
+// IsMajority reports whether count proxies are more than half of those that haven't left.
+func (p peers) IsMajority(count int) bool { return count >= p.mesh.Majority() }
+
 // ReportSuspected tells the users of the group's targets that the target has just failed to
 // answer this proxy, so that they sample it at once.
 func (p peers) ReportSuspected(ctx context.Context, group string, target rosemary.TargetID) {
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -84,7 +84,8 @@
 	// is random, so that an echo of an earlier process of this proxy isn't taken for one of this.
 	created     time.Time
 	firstSentMs uint64
-	// knownUntil is until when a peer takes this proxy for live, in nanoseconds since created.
+	// knownUntil is until when most peers take this proxy for live, in nanoseconds since
+	// created.
 	knownUntil atomic.Int64
 
 	mu    sync.Mutex
@@ -181,9 +182,14 @@
 
 func (m *Mesh) tick(ctx context.Context) {
 	now := time.Now()
-	m.runStep(func(n *Node) ([]Envelope, []Event) { return n.Tick(now) })
+	known := m.KnownToMost()
+	m.runStep(func(n *Node) ([]Envelope, []Event) {
+		n.RetainDead(!known)
+		return n.Tick(now)
+	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.knownUntil.Store(int64(m.node.KnownUntil()))
 	for _, id := range m.node.Neighbours() {
 		if m.links[id] != nil || now.Sub(m.dialedAt[id]) < redialInterval+dialTimeout {
 			continue
@@ -261,21 +267,21 @@
 		m.runStep(func(n *Node) ([]Envelope, []Event) { return n.Receive(now, from, message) })
 	}
 	if message.Heartbeat != nil && message.Heartbeat.EchoMs != nil {
-		m.receiveEcho(*message.Heartbeat.EchoMs)
+		m.receiveEcho(from, *message.Heartbeat.EchoMs)
 	}
 }
 
 // receiveEcho records that a peer has received the heartbeat of sentMs. It takes this proxy for
 // live until the heartbeats that follow are overdue.
-func (m *Mesh) receiveEcho(sentMs uint64) {
+func (m *Mesh) receiveEcho(from rosemary.ProxyID, sentMs uint64) {
 	elapsed := m.elapsed()
 	if sentMs < m.firstSentMs || sentMs-m.firstSentMs > uint64(elapsed.Milliseconds()) {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	until := time.Duration(sentMs-m.firstSentMs)*time.Millisecond + m.node.deathTime()
-	m.knownUntil.Store(max(m.knownUntil.Load(), int64(until)))
+	m.node.RecordEcho(from, time.Duration(sentMs-m.firstSentMs)*time.Millisecond+m.node.deathTime())
+	m.knownUntil.Store(int64(m.node.KnownUntil()))
 }
 
 // elapsed returns the time since the mesh was created.
@@ -416,10 +422,19 @@
 	return m.node.View()
 }
 
-// KnownToPeer reports whether a peer has confirmed a heartbeat of this proxy that was sent so
-// lately that it doesn't take this proxy for dead. Neither an open link nor a message of the peer
-// proves that, and a build that doesn't confirm heartbeats proves nothing. It takes no lock.
-func (m *Mesh) KnownToPeer() bool { return int64(m.elapsed()) < m.knownUntil.Load() }
+// KnownToMost reports whether more than half of the members that haven't left have confirmed
+// heartbeats of this proxy that were sent so lately that they don't take it for dead. Neither an
+// open link nor a message of a peer proves that, and a build that doesn't confirm heartbeats proves
+// nothing. Any two such majorities have a member in common. It takes no lock.
+func (m *Mesh) KnownToMost() bool { return int64(m.elapsed()) < m.knownUntil.Load() }
+
+// Majority returns how many members, this one included, are more than half of those that haven't
+// left.
+func (m *Mesh) Majority() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Majority()
+}
 
 // LinkedPeers returns the peers that this proxy has a link to.
 func (m *Mesh) LinkedPeers() []rosemary.ProxyID {
--- a/pkg/rosepeer/neighbours.go
+++ b/pkg/rosepeer/neighbours.go
@@ -29,10 +29,17 @@
 	}
 	n.neighboursStale = false
 	var members []rosemary.Member
+	n.live, n.staying = 1, 1
 	for _, p := range n.peers {
 		if p.state <= StateSuspect {
 			members = append(members, p.member)
 		}
+		if p.state <= StateSuspect && p.confirmed {
+			n.live++
+		}
+		if p.state != StateLeaving {
+			n.staying++
+		}
 	}
 	members = append(members, n.config.Self)
 	n.fullMesh = len(members) <= n.config.FullMeshSize
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -76,6 +76,9 @@
 	bundleVersion  uint64
 	// echo is the SentMs of its last heartbeat, nil if that had none.
 	echo *uint64
+	// knowsUntil is until when it takes this proxy for live, on the clock of the caller of
+	// RecordEcho.
+	knowsUntil time.Duration
 }
 
 // Envelope is a message addressed to one proxy.
@@ -108,9 +111,14 @@
 	primaries  map[string]rosewire.Lead
 	neighbours []rosemary.ProxyID
 	// companions are neighbours in addition to those on the rings.
-	companions          []rosemary.ProxyID
-	neighboursStale     bool
-	fullMesh            bool
+	companions      []rosemary.ProxyID
+	neighboursStale bool
+	fullMesh        bool
+	// live and staying count the members, this one included, that are alive or suspected,
+	// and those that haven't left: a dead one may be on the other side of a partition.
+	live, staying int
+	// retainDead keeps dead members from being forgotten.
+	retainDead          bool
 	bundleVersion       uint64
 	newestBundleVersion uint64
 	lastHeartbeatSent   time.Time
@@ -325,6 +333,48 @@
 	return n.config.HeartbeatInterval
 }
 
+// RetainDead sets whether dead members are remembered for as long as it takes. A proxy that most
+// others don't know can't tell the dead from those behind a partition.
+func (n *Node) RetainDead(retain bool) { n.retainDead = retain }
+
+// RecordEcho records that a peer takes this proxy for live until a time of a clock of the caller's.
+func (n *Node) RecordEcho(from rosemary.ProxyID, until time.Duration) {
+	if p := n.peers[from]; p != nil {
+		p.knowsUntil = max(p.knowsUntil, until)
+	}
+}
+
+// Majority returns how many members, this one included, are more than half of those that haven't
+// left.
+func (n *Node) Majority() int {
+	n.Neighbours()
+	return n.staying/2 + 1
+}
+
+// KnownUntil returns until when, on the clock of RecordEcho, a majority takes this proxy for live.
+// Beyond a full mesh, where a few peers monitor it and pass on what they see, one of them has to,
+// and this proxy has to see a majority.
+func (n *Node) KnownUntil() time.Duration {
+	required := max(n.Majority()-1, 1)
+	if !n.fullMesh {
+		if n.live <= required {
+			return 0
+		}
+		required = 1
+	}
+	until := make([]time.Duration, 0, len(n.neighbours))
+	for _, id := range n.neighbours {
+		if p := n.peers[id]; p != nil {
+			until = append(until, p.knowsUntil)
+		}
+	}
+	if len(until) < required {
+		return 0
+	}
+	slices.Sort(until)
+	return until[len(until)-required]
+}
+
 // deathTime returns how long a member is silent before the others take it for dead.
 func (n *Node) deathTime() time.Duration {
 	return (suspectHeartbeats + refuteHeartbeats) * n.heartbeatInterval()
@@ -353,7 +403,7 @@
 		switch {
 		case p.state == StateSuspect && now.Sub(p.stateChangedAt) > refuteHeartbeats*n.heartbeatInterval():
 			events = append(events, n.setState(now, p, StateDead))
-		case p.state >= StateLeaving && now.Sub(p.stateChangedAt) > deadRetention:
+		case p.state >= StateLeaving && now.Sub(p.stateChangedAt) > deadRetention && !(p.state == StateDead && n.retainDead):
 			delete(n.peers, id)
 			delete(n.notAlive, id)
 			n.neighboursStale = true
--- a/pkg/rosesupervisor/replace.go
+++ b/pkg/rosesupervisor/replace.go
@@ -97,8 +97,11 @@
 	// was while it was primary. It reports false if none knew any.
 	LastPrimary(ctx context.Context, group string) (rosemary.Status, bool)
 	// RevokePrimary asks all to stop using the primary of term. It returns
-	// those that have, and all that were asked.
-	RevokePrimary(ctx context.Context, group string, term uint64) (stopped, asked []rosemary.ProxyID)
+	// those that have, and all that should.
+	RevokePrimary(ctx context.Context, group string, term uint64) (stopped, required []rosemary.ProxyID)
+	// IsMajority reports whether count proxies are more than half of those that this one
+	// knows of and that haven't left.
+	IsMajority(count int) bool
 	// ReportSuspected tells all that the target has just failed to answer this
 	// proxy, so that they sample it at once.
 	ReportSuspected(ctx context.Context, group string, target rosemary.TargetID)
--- a/pkg/rosesupervisor/replace_revoke.go
+++ b/pkg/rosesupervisor/replace_revoke.go
@@ -37,7 +37,8 @@
 }
 
 // revokeOnAllProxies asks every proxy to stop using the primary of term, and
-// reports whether all that are registered or linked have.
+// reports whether all that are registered or live have. They have to be a majority: one that is
+// neither may use the primary while a majority knows it.
 func (r *Replacer) revokeOnAllProxies(ctx context.Context, term uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
@@ -50,7 +51,7 @@
 	if err != nil {
 		return false
 	}
-	stopped, asked := r.config.Voters.RevokePrimary(ctx, r.config.Group.Name(), term)
+	stopped, required := r.config.Voters.RevokePrimary(ctx, r.config.Group.Name(), term)
 	if proxy, found := r.guaranteedBut(append(stopped, r.config.Self)); found {
 		klog.InfoS("not all have stopped", "group", r.config.Group.Name(), "term", term, "guaranteed", proxy)
 		return false
@@ -61,5 +62,9 @@
 			return false
 		}
 	}
-	return len(stopped) == len(asked)
+	if !r.config.Voters.IsMajority(len(stopped) + 1) {
+		klog.InfoS("not all have stopped", "group", r.config.Group.Name(), "term", term, "stopped", stopped, "why", "no majority")
+		return false
+	}
+	return len(stopped) == len(required)
 }
