rosesupervisor: an unsettled claim refuses a promise for its lock

What callers could see: a failover lock with two holders for up to 1.7 s, and so two replacements of one primary. A proxy sends a claim that the store doesn't answer, then loses the store, and promises the lapsed holder to claim nothing, and that it has claimed nothing; the holder resumes. The store carries the claim out a second later. When the proxy is restarted and reaches the store, it finds the lock under its own name and claims it anew at once, as what a process before held.

Cause: "claimed nothing" rested on the claims that were confirmed. A claim without an answer may have been carried out, or may be, seconds later.

A claim that was neither confirmed nor refused makes its sender refuse promises for that lock until a list read 10 s later would show it. The holder is then not extended; the lock is claimed once the store is back. The refusal is logged with its reason.

--- a/pkg/rosesupervisor/lock_abstain.go
+++ b/pkg/rosesupervisor/lock_abstain.go
@@ -135,6 +135,10 @@
 			l.reportPromise(asker, "refused", "the lock of "+c.Group+" was claimed later")
 			return 0, false
 		}
+		if _, unsettled := l.unsettledClaims[c.Group]; unsettled {
+			l.reportPromise(asker, "refused", "a claim of the lock of "+c.Group+" may still take effect")
+			return 0, false
+		}
 		if at, claimed := l.claimedAt[c.Group]; claimed {
 			unclaimed = min(unclaimed, now.Sub(at))
 		}
--- a/pkg/rosesupervisor/lock_claim.go
+++ b/pkg/rosesupervisor/lock_claim.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roselog"
@@ -53,6 +55,19 @@
 	}
 }
 
+// recordUnsettledClaim records that the store may carry a claim out without telling.
+func (l *LockManager) recordUnsettledClaim(group string, sentAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsettledClaims[group] = sentAt
+}
+
+// settleClaims forgets the unsettled claims that would show in the list just read. The caller holds
+// the lock.
+func (l *LockManager) settleClaims(now time.Time) {
+	maps.DeleteFunc(l.unsettledClaims, func(_ string, sentAt time.Time) bool { return now.Sub(sentAt) > unsettledClaimTime })
+}
+
 // earlierPromiseEnd returns until when a promise of an earlier incarnation of this proxy to claim
 // no lock may last. A lock that has stayed with that one was claimed before it promised. The
 // caller holds the lock.
@@ -165,11 +180,15 @@
 	if err != nil {
 		return
 	}
+	sentAt := l.config.Clock.Now()
 	claimedAt, err := l.config.Store.Apply(ctx, rosemary.Change{
 		Preconditions: []rosemary.Precondition{{Key: key, Revision: revision}},
 		Writes:        []rosemary.Item{{Key: key, Value: value, Lease: lease}},
 	})
 	if err != nil {
+		if !trace.IsCompareFailed(err) && !trace.IsNotFound(err) {
+			l.recordUnsettledClaim(group, sentAt)
+		}
 		// A change that got no answer may have taken effect.
 		item, readErr := l.config.Store.Read(ctx, key)
 		if readErr != nil || string(item.Value) != string(value) || item.Lease != lease {
@@ -188,6 +207,7 @@
 	now := l.config.Clock.Now()
 	l.recordClaim(group, generation(l.epoch.number, claimedAt), l.config.Self.Proxy)
 	l.held[group] = lockClaim{claimedAt, now}
+	delete(l.unsettledClaims, group)
 	l.claimedAt[group] = now
 	l.holders[group] = l.config.Self.Proxy
 	klog.InfoS("duty claimed", "group", group, "generation", generation(l.epoch.number, claimedAt), "epoch", l.epoch.number, "revision", claimedAt, "lease", lease)
--- a/pkg/rosesupervisor/lock_manager.go
+++ b/pkg/rosesupervisor/lock_manager.go
@@ -63,6 +63,9 @@
 	// abstainMargin shortens abstainDuration for the holder, which stops acting
 	// before the promises end.
 	abstainMargin = 300 * time.Millisecond
+	// unsettledClaimTime is for how long the store may carry out a claim that it hasn't
+	// answered, and a list may not show it.
+	unsettledClaimTime = 10 * time.Second
 	// abstainTimeout bounds the wait for the promises of all other proxies.
 	abstainTimeout = 400 * time.Millisecond
 	// releaseTimeout bounds the deletion of this proxy's keys at shutdown.
@@ -166,6 +169,9 @@
 	// have been claimed, and claimedAt to when this process last claimed them.
 	newestClaims map[string]int64
 	claimedAt    map[string]time.Time
+	// unsettledClaims maps groups to when a claim was sent that the store has neither
+	// confirmed nor refused, and may still carry out.
+	unsettledClaims map[string]time.Time
 	// peersAbstainUntil is the time until which every other proxy has promised
 	// to claim no lock, and has claimed none since the lease, and abstainUntil that of
 	// this proxy's own promise.
@@ -217,6 +223,7 @@
 		reportedPromises:  make(map[rosemary.ProxyID]string),
 		newestClaims:      make(map[string]int64),
 		claimedAt:         make(map[string]time.Time),
+		unsettledClaims:   make(map[string]time.Time),
 	}
 }
 
@@ -347,6 +354,7 @@
 	locks := l.applyListing(prefix, items)
 	l.mu.Lock()
 	l.listedAt = l.config.Clock.Now()
+	l.settleClaims(l.listedAt)
 	l.mu.Unlock()
 	l.forgetFreeLocks(groups)
 	if len(groups) > 0 {
