rosefleet: pass the time to the check whether a primary may be used

The check compares with a time since the last commits, and read the clock for it, a system call for each use of a primary. Its callers have the time already.

--- a/internal/rosenode/cap_hosts.go
+++ b/internal/rosenode/cap_hosts.go
@@ -143,7 +143,7 @@
 		sinceTaken: now.Sub(h.takenAt),
 		silence:    now.Sub(n.locks.RegisteredUntil()),
 		unread:     !h.wokeAt.IsZero() && !n.locks.ListedAt().After(h.wokeAt),
-		isolated:   n.isIsolated(),
+		isolated:   n.isIsolated(now),
 		newsAge:    n.configurationAge(),
 	}.stopReason()
 }
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -115,7 +115,7 @@
 			// They also depend on the time since a change.
 			n.updateGroups(false)
 		}
-		if isolated := n.isIsolated(); n.isolated.Swap(isolated) != isolated {
+		if isolated := n.isIsolated(n.config.Clock.Now()); n.isolated.Swap(isolated) != isolated {
 			klog.InfoS("isolation changed", "isolated", isolated, "members", len(members))
 		}
 	}
@@ -135,12 +135,12 @@
 // proxy that replaces a primary doesn't know of it, and can't tell it to stop
 // using the old one. This is looked at whenever the primary is used, as a lease may
 // end at any time.
-func (n *Node) allowPrimary() bool { return !n.isIsolated() }
+func (n *Node) allowPrimary(now time.Time) bool { return !n.isIsolated(now) }
 
 // isIsolated reports whether this proxy is neither registered in the store nor known to
 // most of the others.
-func (n *Node) isIsolated() bool {
-	return !n.mesh.KnownToMost() && !n.locks.Registered() && n.locks.KnowsOthers()
+func (n *Node) isIsolated(now time.Time) bool {
+	return !n.mesh.KnownToMost(now) && !n.locks.Registered() && n.locks.KnowsOthers()
 }
 
 // configurationText returns the text of the configuration in force, for a peer.
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -33,7 +33,7 @@
 	LeavingTime time.Duration
 	// AllowPrimary reports whether this proxy may rely on a primary at all;
 	// nil means always.
-	AllowPrimary func() bool
+	AllowPrimary func(now time.Time) bool
 	// ZonePartitioned reports whether this proxy knows that it is cut off from
 	// the other availability zones. It then refuses at once what it can't serve
 	// at once, since other proxies can serve it. Nil means never.
@@ -101,7 +101,7 @@
 		config.LeavingTime = DefaultLeavingTime
 	}
 	if config.AllowPrimary == nil {
-		config.AllowPrimary = func() bool { return true }
+		config.AllowPrimary = func(time.Time) bool { return true }
 	}
 	if config.ZonePartitioned == nil {
 		config.ZonePartitioned = func() bool { return false }
@@ -345,12 +345,13 @@
 func (g *Group) NeedsGuarantee(remaining time.Duration) (uint64, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
 	e := g.endpoints[primary.Target]
-	if !known || e == nil || !e.unreachableSince.IsZero() || !g.config.AllowPrimary() {
+	if !known || e == nil || !e.unreachableSince.IsZero() || !g.config.AllowPrimary(now) {
 		return 0, false
 	}
-	return primary.Term, primary.ValidUntil.Sub(g.config.Clock.Now()) < remaining
+	return primary.Term, primary.ValidUntil.Sub(now) < remaining
 }
 
 // ObserveGuarantee records that the primary of term isn't replaced before until, by the word
@@ -435,7 +436,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	primary, known := g.primaryTracker.Primary()
-	return known && g.config.AllowPrimary() && g.config.Clock.Now().Before(primary.ValidUntil)
+	now := g.config.Clock.Now()
+	return known && g.config.AllowPrimary(now) && now.Before(primary.ValidUntil)
 }
 
 // TargetView is a snapshot of one target.
@@ -479,7 +481,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
-	view := View{PrimaryLease: primary, HasPrimaryLease: known, PrimaryValid: known && g.config.AllowPrimary() && now.Before(primary.ValidUntil), Term: g.primaryTracker.Term(), PrimarySince: g.primarySince}
+	view := View{PrimaryLease: primary, HasPrimaryLease: known, PrimaryValid: known && g.config.AllowPrimary(now) && now.Before(primary.ValidUntil), Term: g.primaryTracker.Term(), PrimarySince: g.primarySince}
 	for id, e := range g.endpoints {
 		status, seenAt, _ := g.primaryTracker.Status(id)
 		t := TargetView{
--- a/pkg/rosefleet/lease.go
+++ b/pkg/rosefleet/lease.go
@@ -116,7 +116,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
-	valid := known && g.config.AllowPrimary() && now.Before(primary.ValidUntil)
+	valid := known && g.config.AllowPrimary(now) && now.Before(primary.ValidUntil)
 	g.outage = g.outage.WithPrimary(valid, now)
 	if request.Primary {
 		if e := g.endpoints[primary.Target]; valid && e != nil && e.unreachableSince.IsZero() && !e.pastLeavingGrace(now) {
@@ -279,7 +279,8 @@
 func (l *ConnLease) StillPrimary() bool {
 	l.group.mu.Lock()
 	defer l.group.mu.Unlock()
-	return l.group.config.AllowPrimary() && l.group.primaryTracker.IsPrimary(l.endpoint.target.ID, l.term, l.group.config.Clock.Now())
+	now := l.group.config.Clock.Now()
+	return l.group.config.AllowPrimary(now) && l.group.primaryTracker.IsPrimary(l.endpoint.target.ID, l.term, now)
 }
 
 // Exchange runs statements on the connection, and updates the state of the target
--- a/pkg/rosefleet/use.go
+++ b/pkg/rosefleet/use.go
@@ -100,7 +100,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
 	primary, known := g.primaryTracker.Primary()
-	valid := known && g.config.AllowPrimary() && now.Before(primary.ValidUntil)
+	valid := known && g.config.AllowPrimary(now) && now.Before(primary.ValidUntil)
 	position, _ := g.primaryTracker.MinPosition(now.Add(-viewedMaxAge))
 	var uses []TargetUse
 	for id, e := range g.endpoints {
--- a/pkg/rosepeer/known_test.go
+++ b/pkg/rosepeer/known_test.go
@@ -47,8 +47,8 @@
 		k.b, k.memberB = startMesh(ctx, k.c, k.network, "b", "")
 		k.a = k.startA(ctxA)
 		time.Sleep(2 * time.Second)
-		k.c.Assert(k.a.KnownToMost(), qt.IsTrue)
-		k.c.Assert(k.b.KnownToMost(), qt.IsTrue)
+		k.c.Assert(k.a.KnownToMost(k.clock.Now()), qt.IsTrue)
+		k.c.Assert(k.b.KnownToMost(time.Now()), qt.IsTrue)
 		run(k)
 	})
 }
@@ -70,13 +70,13 @@
 		k.silenceA()
 		for startedAt := time.Now(); time.Since(startedAt) < 3*deathTime; time.Sleep(10 * time.Millisecond) {
 			if len(k.b.LiveOthers()) == 0 {
-				k.c.Assert(k.a.KnownToMost(), qt.IsFalse, qt.Commentf("%v after the cut", time.Since(startedAt)))
+				k.c.Assert(k.a.KnownToMost(k.clock.Now()), qt.IsFalse, qt.Commentf("%v after the cut", time.Since(startedAt)))
 			}
 		}
 		k.c.Check(k.b.LiveOthers(), qt.HasLen, 0)
 		k.network.SetBlockedOneWay(nil)
 		time.Sleep(5 * time.Second)
-		k.c.Check(k.a.KnownToMost(), qt.IsTrue)
+		k.c.Check(k.a.KnownToMost(k.clock.Now()), qt.IsTrue)
 	})
 }
 
@@ -87,12 +87,12 @@
 		k.silenceA()
 		k.clock.suspended.Add(int64(deathTime))
 		for range 50 {
-			k.c.Assert(k.a.KnownToMost(), qt.IsFalse)
+			k.c.Assert(k.a.KnownToMost(k.clock.Now()), qt.IsFalse)
 			time.Sleep(10 * time.Millisecond)
 		}
 		k.network.SetBlockedOneWay(nil)
 		time.Sleep(3 * heartbeatInterval)
-		k.c.Check(k.a.KnownToMost(), qt.IsTrue)
+		k.c.Check(k.a.KnownToMost(k.clock.Now()), qt.IsTrue)
 	})
 }
 
@@ -107,11 +107,11 @@
 		defer cancel()
 		restarted := k.startA(ctx)
 		for range 50 {
-			k.c.Assert(restarted.KnownToMost(), qt.IsFalse)
+			k.c.Assert(restarted.KnownToMost(k.clock.Now()), qt.IsFalse)
 			time.Sleep(10 * time.Millisecond)
 		}
 		k.network.SetBlockedOneWay(nil)
 		time.Sleep(5 * time.Second)
-		k.c.Check(restarted.KnownToMost(), qt.IsTrue)
+		k.c.Check(restarted.KnownToMost(k.clock.Now()), qt.IsTrue)
 	})
 }
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -182,7 +182,7 @@
 
 func (m *Mesh) tick(ctx context.Context) {
 	now := time.Now()
-	known := m.KnownToMost()
+	known := m.KnownToMost(m.config.Clock.Now())
 	m.runStep(func(n *Node) ([]Envelope, []Event) {
 		n.RetainDead(!known)
 		return n.Tick(now)
@@ -425,8 +425,11 @@
 // KnownToMost reports whether more than half of the members that haven't left have confirmed
 // heartbeats of this proxy that were sent so lately that they don't take it for dead. Neither an
 // open link nor a message of a peer proves that, and a build that doesn't confirm heartbeats proves
-// nothing. Any two such majorities have a member in common. It takes no lock.
-func (m *Mesh) KnownToMost() bool { return int64(m.elapsed()) < m.knownUntil.Load() }
+// nothing. Any two such majorities have a member in common. The current time is that of
+// Config.Clock. It takes no lock.
+func (m *Mesh) KnownToMost(now time.Time) bool {
+	return int64(now.Sub(m.created)) < m.knownUntil.Load()
+}
 
 // Majority returns how many members, this one included, are more than half of those that haven't
 // left.
