rosepeer: updates aren't kept from a peer that sent something else

Updates that came from one peer aren't sent back to it. Which peer that is was noted when its message arrived, also if that held nothing new, and stayed noted until the next update left: a member's return, a suspicion, a death or a new primary was then not sent to that peer. It was also overwritten by the next sender while an update of this proxy's own was pending: a configuration's version. And a refutation wasn't sent to the peer that had told of the suspicion; the next heartbeat told it, unless the mistake above kept its news from the one that suspects.

The source is now noted with each update that is queued.

--- a/pkg/rosepeer/known_test.go
+++ b/pkg/rosepeer/known_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,9 +32,9 @@
 	network *rosenet.Network
 	clock   bootClock
 	a, b    *rosepeer.Mesh
-	// memberB is b, and stopA ends a.
-	memberB rosemary.Member
-	stopA   context.CancelFunc
+	// memberB is b, and stopA and stopB end them.
+	memberB      rosemary.Member
+	stopA, stopB context.CancelFunc
 }
 
 func runKnownTest(t *testing.T, run func(k *knownTest)) {
@@ -43,8 +44,9 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		ctxA, stopA := context.WithCancel(ctx)
-		k.stopA = stopA
-		k.b, k.memberB = startMesh(ctx, k.c, k.network, "b", "")
+		ctxB, stopB := context.WithCancel(ctx)
+		k.stopA, k.stopB = stopA, stopB
+		k.b, k.memberB = startMesh(ctxB, k.c, k.network, "b", "")
 		k.a = k.startA(ctxA)
 		time.Sleep(2 * time.Second)
 		k.c.Assert(k.a.KnownToMost(k.clock.Now()), qt.IsTrue)
@@ -115,3 +117,26 @@
 		k.c.Check(restarted.KnownToMost(k.clock.Now()), qt.IsTrue)
 	})
 }
+
+// TestKnownProxyIsRequired guards against a proxy that is known to most, through others, while the
+// proxy that has a primary replaced takes it for dead and doesn't wait for it.
+func TestKnownProxyIsRequired(t *testing.T) {
+	runKnownTest(t, func(k *knownTest) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		holder, _ := startMesh(ctx, k.c, k.network, "holder", "", k.memberB)
+		time.Sleep(2 * time.Second)
+		k.network.SetBlocked(func(from, to rosenet.Host) bool {
+			return from.Name == "a" && to.Name == "holder" || from.Name == "holder" && to.Name == "a"
+		})
+		known := 0
+		for range 2000 {
+			if k.a.KnownToMost(k.clock.Now()) {
+				known++
+				k.c.Assert(slices.Contains(holder.LiveOthers(), "a"), qt.IsTrue)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		k.c.Check(known > 1000, qt.IsTrue, qt.Commentf("%d", known))
+	})
+}
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -124,7 +124,7 @@
 	lastHeartbeatSent   time.Time
 	draining            bool
 	// pending are the updates to send with the next flush, and pendingSource is
-	// where they came from: a peer, which does not get them back, or this proxy.
+	// the peer that they all came from, which does not get them back, or empty.
 	pending       rosewire.News
 	pendingSource rosemary.ProxyID
 }
@@ -251,8 +251,8 @@
 	n.bundleVersion = max(n.bundleVersion, version)
 	if version > n.newestBundleVersion {
 		n.newestBundleVersion = version
+		n.addPendingSource("")
 		n.pending.BundleVersion = &version
-		n.pendingSource = n.config.Self.Proxy
 	}
 }
 
@@ -263,6 +263,7 @@
 // AnnouncePrimary queues an update about a new primary.
 func (n *Node) AnnouncePrimary(primary rosewire.Lead) {
 	if n.recordPrimary(primary) {
+		n.addPendingSource("")
 		n.pending.Leads = append(n.pending.Leads, primary)
 	}
 }
@@ -270,6 +271,7 @@
 // Leave queues an update that this proxy is shutting down.
 func (n *Node) Leave() {
 	n.draining = true
+	n.addPendingSource("")
 	n.pending.Members = append(n.pending.Members, n.selfRecord(StateLeaving))
 }
 
@@ -395,14 +397,14 @@
 		}
 		silence := min(now.Sub(p.lastSeen), now.Sub(p.neighbourSince))
 		if p.confirmed && p.state == StateAlive && silence > timeout {
-			events = append(events, n.setState(now, p, StateSuspect))
+			events = append(events, n.setState(now, "", p, StateSuspect))
 		}
 	}
 	for id := range n.notAlive {
 		p := n.peers[id]
 		switch {
 		case p.state == StateSuspect && now.Sub(p.stateChangedAt) > refuteHeartbeats*n.heartbeatInterval():
-			events = append(events, n.setState(now, p, StateDead))
+			events = append(events, n.setState(now, "", p, StateDead))
 		case p.state >= StateLeaving && now.Sub(p.stateChangedAt) > deadRetention && !(p.state == StateDead && n.retainDead):
 			delete(n.peers, id)
 			delete(n.notAlive, id)
@@ -412,8 +414,8 @@
 	return events
 }
 
-// setState changes a member's state and queues an update about it.
-func (n *Node) setState(now time.Time, p *peer, state State) Event {
+// setState changes a member's state and queues an update about it for all but source.
+func (n *Node) setState(now time.Time, source rosemary.ProxyID, p *peer, state State) Event {
 	p.state = state
 	p.stateChangedAt = now
 	if state == StateAlive {
@@ -422,6 +424,7 @@
 		n.notAlive[p.member.Proxy] = struct{}{}
 	}
 	n.neighboursStale = true
+	n.addPendingSource(source)
 	n.pending.Members = append(n.pending.Members, p.record())
 	return Event{Member: p.member, State: state}
 }
@@ -446,10 +449,25 @@
 	return n.flush()
 }
 
+// addPendingSource records where an update that is about to be queued came from, empty for this
+// proxy. Updates of several sources go to all.
+func (n *Node) addPendingSource(source rosemary.ProxyID) {
+	if !n.hasPending() {
+		n.pendingSource = source
+	} else if n.pendingSource != source {
+		n.pendingSource = ""
+	}
+}
+
+// hasPending reports whether there are updates to send.
+func (n *Node) hasPending() bool {
+	return len(n.pending.Members) > 0 || len(n.pending.Leads) > 0 || n.pending.BundleVersion != nil
+}
+
 // flush returns the pending updates for every neighbour except the one they
 // came from.
 func (n *Node) flush() []Envelope {
-	if len(n.pending.Members) == 0 && len(n.pending.Leads) == 0 && n.pending.BundleVersion == nil {
+	if !n.hasPending() {
 		return nil
 	}
 	news := n.pending
--- a/pkg/rosepeer/receive.go
+++ b/pkg/rosepeer/receive.go
@@ -20,12 +20,6 @@
 			return append(n.flushUrgent(), Envelope{from, n.heartbeat(from)}), events
 		}
 	case message.News != nil:
-		if len(n.pending.Members) == 0 {
-			n.pendingSource = from
-		} else if n.pendingSource != from {
-			// Updates of several peers go to all.
-			n.pendingSource = ""
-		}
 		events = n.receiveNews(now, from, *message.News)
 	}
 	return n.flushUrgent(), events
@@ -47,7 +41,7 @@
 }
 
 func (n *Node) receiveHello(now time.Time, hello rosewire.Hello) []Event {
-	return n.mergeMember(now, rosewire.Member{
+	return n.mergeMember(now, "", rosewire.Member{
 		Proxy:       hello.Proxy,
 		Zone:        hello.Zone,
 		Address:     hello.Address,
@@ -70,7 +64,7 @@
 	if p.state != StateAlive && p.state != StateLeaving || heartbeat.Incarnation > p.incarnation || !p.confirmed {
 		p.incarnation = heartbeat.Incarnation
 		p.confirmed = true
-		events = append(events, n.setState(now, p, StateAlive))
+		events = append(events, n.setState(now, "", p, StateAlive))
 	}
 	return append(events, n.recordBundleVersion(from, heartbeat.BundleVersion)...)
 }
@@ -78,11 +72,12 @@
 func (n *Node) receiveNews(now time.Time, from rosemary.ProxyID, news rosewire.News) []Event {
 	var events []Event
 	for _, m := range news.Members {
-		events = append(events, n.mergeMember(now, m)...)
+		events = append(events, n.mergeMember(now, from, m)...)
 	}
 	for _, p := range news.Leads {
 		if n.recordPrimary(p) {
 			primary := p
+			n.addPendingSource(from)
 			n.pending.Leads = append(n.pending.Leads, primary)
 			events = append(events, Event{Primary: &primary})
 		}
@@ -107,8 +102,9 @@
 	return []Event{{BundleVersion: version, From: from}}
 }
 
-// mergeMember applies a peer's report about a member.
-func (n *Node) mergeMember(now time.Time, m rosewire.Member) []Event {
+// mergeMember applies a peer's report about a member. The update about a change isn't sent to
+// source.
+func (n *Node) mergeMember(now time.Time, source rosemary.ProxyID, m rosewire.Member) []Event {
 	id := rosemary.ProxyID(m.Proxy)
 	if id == n.config.Self.Proxy {
 		n.refute(m)
@@ -132,7 +128,7 @@
 	if restarted {
 		p.lastSeen = now
 	}
-	return []Event{n.setState(now, p, state)}
+	return []Event{n.setState(now, source, p, state)}
 }
 
 func overrides(incarnation uint64, state State, p *peer) bool {
@@ -149,6 +145,8 @@
 		return
 	}
 	n.incarnation = m.Incarnation + 1
+	// It is news to the sender of the report, too.
+	n.addPendingSource("")
 	n.pending.Members = append(n.pending.Members, n.selfRecord(StateAlive))
 }
 
