rosepeer: a peer's knowledge ends with its link

A proxy counted as known to a peer for up to 7 s after the peer's process had ended, though the next one knows nothing of it. The echoes of a peer are forgotten with the link to it; the next ones come within two heartbeats of a new link.

--- a/pkg/rosepeer/known_test.go
+++ b/pkg/rosepeer/known_test.go
@@ -140,3 +140,13 @@
 		k.c.Check(known > 1000, qt.IsTrue, qt.Commentf("%d", known))
 	})
 }
+
+// TestEndedPeerKnowsNobody guards against a proxy that relies on what a process knew that has ended;
+// the next one knows nothing of it.
+func TestEndedPeerKnowsNobody(t *testing.T) {
+	runKnownTest(t, func(k *knownTest) {
+		k.stopB()
+		time.Sleep(100 * time.Millisecond)
+		k.c.Check(k.a.KnownToMost(k.clock.Now()), qt.IsFalse)
+	})
+}
--- a/pkg/rosepeer/link.go
+++ b/pkg/rosepeer/link.go
@@ -113,6 +113,8 @@
 	defer m.mu.Unlock()
 	if m.links[l.peer] == l {
 		delete(m.links, l.peer)
+		m.node.ForgetEcho(l.peer)
+		m.knownUntil.Store(int64(m.node.KnownUntil()))
 	}
 }
 
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -346,6 +346,14 @@
 	}
 }
 
+// ForgetEcho records that a peer may not take this proxy for live any more, as its process may have
+// ended.
+func (n *Node) ForgetEcho(from rosemary.ProxyID) {
+	if p := n.peers[from]; p != nil {
+		p.knowsUntil = 0
+	}
+}
+
 // Majority returns how many members, this one included, are more than half of those that haven't
 // left.
 func (n *Node) Majority() int {
