--- a/internal/rosenode/cap_hosts.go
+++ b/internal/rosenode/cap_hosts.go
@@ -110,7 +110,7 @@
 	silence time.Duration
 	// unread is set while the store hasn't been read since the proxy last stood still.
 	unread bool
-	// isolated is set while no other proxy is linked to this one.
+	// isolated is set while this proxy is neither registered nor known to most others.
 	isolated bool
 	// newsAge is the age of the latest news from the store, read here or by other proxies.
 	newsAge time.Duration
