--- a/internal/rosenet/stream.go
+++ b/internal/rosenet/stream.go
@@ -160,8 +160,8 @@
 	s.waitUnblocked(sender, receiver)
 }
 
-// waitUnblocked waits while the stream is blocked for a sender's data or stalled. It reports false if
-// the stream ends or this takes longer than stallTimeout; each SetBlocked restarts
+// waitUnblocked waits while the stream is blocked for a sender's data or stalled. It
+// reports false if the stream ends or this takes longer than stallTimeout; each SetBlocked restarts
 // the timeout of a stream that isn't stalled.
 func (s *stream) waitUnblocked(sender, receiver Host) bool {
 	for {
--- a/pkg/rosefleet/group.go
+++ b/pkg/rosefleet/group.go
@@ -31,8 +31,8 @@
 	// LeavingTime is how long after its report a leaving target may get new work, as
 	// a primary that no other target has succeeded; DefaultLeavingTime if zero.
 	LeavingTime time.Duration
-	// AllowPrimary reports whether this proxy may rely on a primary at all;
-	// nil means always.
+	// AllowPrimary reports whether this proxy may rely on a primary at all at a time
+	// of Clock; nil means always.
 	AllowPrimary func(now time.Time) bool
 	// ZonePartitioned reports whether this proxy knows that it is cut off from
 	// the other availability zones. It then refuses at once what it can't serve
--- a/pkg/rosesupervisor/replace_revoke.go
+++ b/pkg/rosesupervisor/replace_revoke.go
@@ -37,8 +37,8 @@
 }
 
 // revokeOnAllProxies asks every proxy to stop using the primary of term, and
-// reports whether all that are registered, or live as far as is known, have. They have to be a majority: one that is
-// neither may use the primary while a majority knows it.
+// reports whether all that are registered, or live as far as is known, have. They have to
+// be a majority: one that is neither may use the primary while a majority knows it.
 func (r *Replacer) revokeOnAllProxies(ctx context.Context, term uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
