rosepeer: log and count bundle parts that arrive too late

Callers saw an older version of the configuration answer. Whether links were full of texts that nobody waits for any more, and whose, couldn't be told from the logs: a fetch that was given up leaves no trace of what arrives later. Each is now logged with its size and counted, and a configuration that comes into force is logged with the size of its text. No logic is changed.

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -156,7 +156,7 @@
 	}
 	n.mesh.SetBundleVersion(uint64(configuration.Version))
 	klog.InfoS("configuration in force", "version", configuration.Version, "source", source,
-		"unconfirmedMs", unconfirmed.Milliseconds(), "namedMs", namedBefore.Milliseconds(), "routes", len(configuration.Routes), "groups", len(configuration.Groups),
+		"unconfirmedMs", unconfirmed.Milliseconds(), "namedMs", namedBefore.Milliseconds(), "bytes", len(configuration.Text), "routes", len(configuration.Routes), "groups", len(configuration.Groups),
 		"teams", configuration.Teams.Len())
 	n.updateGroups(false)
 }
--- a/internal/rosenode/metrics.go
+++ b/internal/rosenode/metrics.go
@@ -117,6 +117,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_configuration_delay_seconds{source=%q}", source)).Update(unconfirmed.Seconds())
 }
 
+// trackUnusedBytes adds a counter of the bytes of configurations that arrived too late.
+func (m *Metrics) trackUnusedBytes(unused func() uint64) {
+	m.set.NewGauge("rosemary_configuration_unused_bytes", func() float64 { return float64(unused()) })
+}
+
 func (m *Metrics) countMissedNotification() {
 	m.set.GetOrCreateCounter("rosemary_configuration_notifications_missed_total").Inc()
 }
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -170,6 +170,7 @@
 	n.metrics.trackConfigurationAge(n.configurationAge, n.newsOutdated.Load)
 	n.caps = newUsageCaps(n)
 	n.mesh = n.newMesh()
+	n.metrics.trackUnusedBytes(func() uint64 { return n.mesh.SentTraffic().UnusedBytes })
 	n.executor = rosecaller.NewLocalExecutor(rosecaller.LocalExecutorConfig{Group: n.Group, RetryBudget: n.retryBudget, Usage: n.caps.limiter, TeamPriority: n.teamPriority})
 	if config.Clock != nil {
 		n.roster = rosedecision.NewRoster(config.Self, config.FirstStart, config.Clock.Now())
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseclock"
 	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
@@ -107,6 +108,9 @@
 type Traffic struct {
 	Messages uint64
 	Bytes    uint64
+	// UnusedBytes is the size of the bundle parts that were received when nobody waited for
+	// them any more.
+	UnusedBytes uint64
 }
 
 type fetchKey struct {
@@ -303,7 +307,12 @@
 	key := fetchKey{from, content.Digest}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, waiter := range m.fetches[key] {
+	waiters := m.fetches[key]
+	if len(waiters) == 0 {
+		m.sent.UnusedBytes += uint64(len(content.Body))
+		klog.InfoS("bundle part arrived too late", "from", from, "bytes", len(content.Body))
+	}
+	for _, waiter := range waiters {
 		waiter <- content.Body
 	}
 	delete(m.fetches, key)
