rosestandin: show a grown configuration that isn't in force in time

What callers saw: after 1,400 routes had been added, proxies went on answering as the version before says for over 5 s (CONFIG), and a third of the requests weren't served meanwhile.

The stand-in's network gets links of a limited bandwidth, which all streams of a host share, with small windows.

--- a/internal/rosenet/network.go
+++ b/internal/rosenet/network.go
@@ -28,6 +28,9 @@
 	Delay func(from, to Host) time.Duration
 	// InMemory keeps streams within the process, without sockets.
 	InMemory bool
+	// Bandwidth returns the bytes per second that a host can send, and receive, on all of its
+	// streams together; zero for no limit. Nil means no limits.
+	Bandwidth func(Host) int
 }
 
 // Network connects hosts. Its methods may be called concurrently.
@@ -49,7 +52,11 @@
 	blockedOneWay func(sender, receiver Host) bool
 
 	streams map[*stream]struct{}
-	tasks   sync.WaitGroup
+	// links are the links of the hosts with a limited bandwidth, and received the bytes that
+	// each host has received.
+	links    map[string]*link
+	received map[string]int
+	tasks    sync.WaitGroup
 }
 
 // NewNetwork returns a network without hosts.
@@ -57,6 +64,9 @@
 	if config.Delay == nil {
 		config.Delay = func(Host, Host) time.Duration { return 0 }
 	}
+	if config.Bandwidth == nil {
+		config.Bandwidth = func(Host) int { return 0 }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Network{
 		config:    config,
@@ -66,6 +76,8 @@
 		hosts:     make(map[string]Host),
 		listeners: make(map[string]*memoryListener),
 		streams:   make(map[*stream]struct{}),
+		links:     make(map[string]*link),
+		received:  make(map[string]int),
 	}
 }
 
--- a/internal/rosenet/stream.go
+++ b/internal/rosenet/stream.go
@@ -109,11 +109,15 @@
 // copyDelayed copies data of the sender from source to sink until either is closed or the
 // stream is blocked for too long. It then closes both and waits for readChunks.
 func (s *stream) copyDelayed(source, sink net.Conn, delay time.Duration, sender, receiver Host) {
-	queue := make(chan chunk, maxQueuedChunks)
+	window := maxQueuedChunks
+	if s.network.limited(sender, receiver) {
+		window = maxWindowChunks
+	}
+	queue := make(chan chunk, window)
 	stop := make(chan struct{})
 	go func() {
 		defer close(queue)
-		s.readChunks(source, queue, delay, stop)
+		s.readChunks(source, queue, func(size int) time.Time { return s.network.deliveryTime(sender, receiver, size, delay) }, stop)
 	}()
 	s.writeChunks(sink, queue, sender, receiver)
 	close(stop)
@@ -124,14 +128,14 @@
 	}
 }
 
-func (s *stream) readChunks(source net.Conn, queue chan<- chunk, delay time.Duration, stop <-chan struct{}) {
+func (s *stream) readChunks(source net.Conn, queue chan<- chunk, deliveryTime func(size int) time.Time, stop <-chan struct{}) {
 	buffer := make([]byte, maxChunkBytes)
 	for {
 		size, err := source.Read(buffer)
 		if size > 0 {
 			data := append([]byte(nil), buffer[:size]...)
 			select {
-			case queue <- chunk{deliverAt: time.Now().Add(delay), data: data}:
+			case queue <- chunk{deliverAt: deliveryTime(size), data: data}:
 			case <-stop:
 				return
 			}
@@ -152,6 +156,7 @@
 			return
 		default:
 		}
+		s.network.countReceived(receiver, len(c.data))
 		if _, err := sink.Write(c.data); err != nil {
 			return
 		}
