rosepeer: announce a version once it is in force

Callers were answered by an older version of the configuration, as proxies that could have had the newer one from a neighbour all asked the one that had read it.

A proxy announced a version only if it hadn't heard of it before. On a new link it was told which version had been heard of, whether or not it was to be had there.

Now each tells its neighbours the version that it has, when it comes into force and on a new link. TestHeardVersionIsAnnounced fails on the code before, at both.

--- a/pkg/rosepeer/news_test.go
+++ b/pkg/rosepeer/news_test.go
@@ -64,3 +64,26 @@
 		})
 	}
 }
+
+// TestHeardVersionIsAnnounced guards against a version that goes one link far, as proxies that had
+// heard of it before they had it didn't pass the news on.
+func TestHeardVersionIsAnnounced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := rosepeer.NewNode(rosepeer.NodeConfig{Self: rosemary.Member{Proxy: "self"}, Incarnation: 1})
+	for _, peer := range []rosemary.ProxyID{"first", "second"} {
+		n.Receive(now, peer, rosewire.Message{Hello: &rosewire.Hello{Proxy: string(peer), Incarnation: 1}})
+	}
+	n.Tick(now)
+	version := uint64(7)
+	n.Receive(now, "first", rosewire.Message{News: &rosewire.News{BundleVersion: &version}})
+	// What this proxy doesn't have isn't to be had from it.
+	qt.Check(t, *n.FullState().News.BundleVersion, qt.Equals, uint64(0))
+	n.SetBundleVersion(version)
+	told := false
+	envelopes, _ := n.Tick(now.Add(time.Millisecond))
+	for _, e := range envelopes {
+		news := e.Message.News
+		told = told || e.To == "second" && news != nil && news.BundleVersion != nil && *news.BundleVersion == version
+	}
+	qt.Check(t, told, qt.IsTrue)
+}
--- a/pkg/rosepeer/node.go
+++ b/pkg/rosepeer/node.go
@@ -246,14 +246,16 @@
 	return views
 }
 
-// SetBundleVersion records the version of the bundle in force at this proxy.
+// SetBundleVersion records the version of the bundle in force at this proxy, and tells the
+// neighbours that it can be had here.
 func (n *Node) SetBundleVersion(version uint64) {
-	n.bundleVersion = max(n.bundleVersion, version)
-	if version > n.newestBundleVersion {
-		n.newestBundleVersion = version
-		n.addPendingSource("")
-		n.pending.BundleVersion = &version
+	if version <= n.bundleVersion {
+		return
 	}
+	n.bundleVersion = version
+	n.newestBundleVersion = max(n.newestBundleVersion, version)
+	n.addPendingSource("")
+	n.pending.BundleVersion = &version
 }
 
 // BundleVersions returns the version in force at this proxy, and the newest one
--- a/pkg/rosepeer/receive.go
+++ b/pkg/rosepeer/receive.go
@@ -26,9 +26,10 @@
 }
 
 // FullState returns the confirmed members that aren't dead, the primaries and
-// the newest bundle version, to be sent on a new link.
+// the version of the bundle in force, to be sent on a new link.
 func (n *Node) FullState() rosewire.Message {
-	news := rosewire.News{BundleVersion: &n.newestBundleVersion}
+	version := n.bundleVersion
+	news := rosewire.News{BundleVersion: &version}
 	for _, p := range n.peers {
 		if p.confirmed && p.state < StateDead {
 			news.Members = append(news.Members, p.record())
