rosenode: pass configurations on in compressed pieces, by few at a time

Callers were answered by an older version of the configuration for over 5 s after 1,400 routes had been added (CONFIG), and a third of the requests weren't served meanwhile.

A text travelled whole, and every call for it had a fixed time: 0.7 s from a peer, 0.3 s from a home, 2 s for a message on a link. On a link on which a text takes longer none of them ever succeeds: each begins anew, while what was asked for before still arrives, in front of it. All neighbours asked the one proxy that had the text, beside the store, and filled its link, then their own; nothing else got through.

Now a proxy fetches a version from one peer at a time, compressed (249 KB are 25 KB) and in pieces of 16 KB. What has arrived is kept when a peer fails, and another one goes on. A source sends to three at a time and says so to the others, which ask again or elsewhere; whoever has the text is a source. A text that arrives from the store keeps only whole texts of peers waiting, and ends when a peer's is in force. What arrives late is used. The readers of a zone ask the store before the others' news is too old. A home that has named a version is asked directly if there is no link to it.

Messages have new fields only: a build that doesn't know them answers with the whole text, and gets one (TestGrownConfigurationInMixedFleet).

--- a/internal/rosenode/follow.go
+++ b/internal/rosenode/follow.go
@@ -76,8 +76,7 @@
 	budget := n.newsBudget()
 	if len(n.askedReaders()) > 0 {
 		f.watchFrom = 0
-		if n.configurationAge() <= budget.MaxAge {
-			roseclock.Sleep(ctx, newsCheckInterval)
+		if !n.needsRead(ctx, budget) {
 			return
 		}
 	}
@@ -86,6 +85,10 @@
 		source = sourceWatch
 	}
 	configuration, seen, err := f.call(ctx, source, budget)
+	if errors.Is(err, errSuperseded) {
+		f.watchFrom = 0
+		return
+	}
 	if n.config.Store.Epoch() != f.epoch && configuration == nil {
 		// What was compared are revisions of two epochs.
 		return
@@ -97,6 +100,27 @@
 	f.fail(ctx, source, sentAt, budget, err)
 }
 
+// needsRead waits until the next check and reports false, or reports true if the store has to be
+// asked because the news of readers is too old, or for a version that no peer has.
+func (n *Node) needsRead(ctx context.Context, budget rosedecision.NewsBudget) bool {
+	maxAge := budget.MaxAge
+	if n.readsForZone() {
+		maxAge = budget.ReaderMaxAge
+	}
+	if n.configurationAge() > maxAge && !n.transfer.fromPeers.underway() {
+		return true
+	}
+	timer := time.NewTimer(newsCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-n.transfer.readNow:
+		return !n.transfer.fromPeers.underway()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // call watches or reads. A call ends when its answer makes no progress, as a text may take long
 // to arrive.
 func (f *configurationFollower) call(ctx context.Context, source string, budget rosedecision.NewsBudget) (*rosemary.Configuration, rosemary.ConfigurationRevision, error) {
@@ -108,12 +132,23 @@
 	}
 	ctx, cancelTransfer := context.WithTimeout(ctx, timeout+maxTransferTime)
 	defer cancelTransfer()
+	ctx, cancelSuperseded := n.transfer.cancelWhenApplied(ctx)
+	defer cancelSuperseded()
 	ctx, cancel := roseclock.WithIdleTimeout(ctx, timeout, pause)
 	defer cancel()
+	ctx = roseclock.WithProgress(ctx, n.transfer.fromStore.record)
+	var configuration *rosemary.Configuration
+	var seen rosemary.ConfigurationRevision
+	var err error
 	if source == sourceWatch {
-		return n.config.Configurations.Await(ctx, f.watchFrom, budget.Wait)
+		configuration, seen, err = n.config.Configurations.Await(ctx, f.watchFrom, budget.Wait)
+	} else {
+		configuration, seen, err = n.config.Configurations.Fetch(ctx, f.known())
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
+		err = errSuperseded
 	}
-	return n.config.Configurations.Fetch(ctx, f.known())
+	return configuration, seen, err
 }
 
 // known returns the newest revision of the configuration that is known in this epoch.
@@ -214,6 +249,7 @@
 		n.metrics.observeConfigurationDelay(source, unconfirmed)
 	}
 	n.mesh.SetBundleVersion(uint64(configuration.Version))
+	n.transfer.recordApplied()
 	klog.InfoS("configuration in force", "version", configuration.Version, "source", source,
 		"unconfirmedMs", unconfirmed.Milliseconds(), "namedMs", namedBefore.Milliseconds(), "bytes", len(configuration.Text), "routes", len(configuration.Routes), "groups", len(configuration.Groups),
 		"teams", configuration.Teams.Len())
--- a/internal/rosenode/node.go
+++ b/internal/rosenode/node.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
 	"github.com/rosemarywell/rosemarywell/pkg/roseadmit"
@@ -64,6 +63,8 @@
 type Omissions struct {
 	// Guarantees of lock holders keep primary leases valid.
 	Guarantees bool
+	// Pieces of a configuration are passed on, not whole texts, as by builds before.
+	Pieces bool
 }
 
 // keyPrefix is put before this product's keys in the store.
@@ -71,21 +72,19 @@
 
 // Node is a proxy on the platform. Its methods may be called concurrently.
 type Node struct {
-	config                Config
-	locks                 *rosesupervisor.LockManager
-	retryBudget           *roseadmit.RetryBudget
-	mesh                  *rosepeer.Mesh
-	executor              *rosecaller.LocalExecutor
-	relayServer           *roserelay.Server
-	relayClient           *roserelay.Client
-	metrics               *Metrics
-	caps                  *usageCaps
-	startedAt             time.Time
-	fetchingConfiguration atomic.Bool
-	// awaitingNewer is set while this proxy fetches a version that another one has named.
+	config      Config
+	locks       *rosesupervisor.LockManager
+	retryBudget *roseadmit.RetryBudget
+	mesh        *rosepeer.Mesh
+	executor    *rosecaller.LocalExecutor
+	relayServer *roserelay.Server
+	relayClient *roserelay.Client
+	metrics     *Metrics
+	caps        *usageCaps
+	startedAt   time.Time
+	transfer    *transfer
+	// awaitingNewer is set while this proxy waits for a version that another one has named.
 	awaitingNewer atomic.Bool
-	// homeFetches are the fetches of a configuration from homes, by address.
-	homeFetches singleflight.Group
 	// newsOutdated is set while the configuration may not be the newest.
 	newsOutdated atomic.Bool
 	// readTargetsNow makes followTargets read the targets at once.
@@ -164,6 +163,7 @@
 		startedAt:   time.Now(),
 		groups:      make(map[string]*group),
 
+		transfer:       newTransfer(),
 		readTargetsNow: make(chan struct{}, 1),
 	}
 	n.metrics.trackTargetsAge(n.targetsAge)
@@ -210,7 +210,7 @@
 	n.context = ctx
 	n.mu.Unlock()
 	var loops errgroup.Group
-	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.followMembers, n.watchConfigurationAge, n.pollStatuses, n.pollGuarantees, n.followUsageCaps, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
+	for _, loop := range []func(context.Context){n.followConfiguration, n.followTargets, n.followPeerTargets, n.followReaders, n.fetchNamed, n.followMembers, n.watchConfigurationAge, n.pollStatuses, n.pollGuarantees, n.followUsageCaps, n.watchZonePartition, n.mesh.Run, n.locks.Run} {
 		loops.Go(func() error {
 			loop(ctx)
 			return nil
--- a/internal/rosenode/peers.go
+++ b/internal/rosenode/peers.go
@@ -30,11 +30,9 @@
 	peerHeaderTimeout = 5 * time.Second
 	// membersInterval is how often the registered proxies are passed to the mesh.
 	membersInterval = time.Second
-	// peerFetchDelay is how long a new configuration may take to arrive from the
-	// store before it is fetched from a peer that has it.
+	// peerFetchDelay is how long a proxy that reads the store waits for a new configuration to
+	// begin to arrive from there before it fetches it from a peer that has it.
 	peerFetchDelay = 300 * time.Millisecond
-	// peerFetchTimeout bounds a fetch from a peer, including peerFetchDelay.
-	peerFetchTimeout = time.Second
 	// reachabilityTimeout bounds the check of a target for a peer.
 	reachabilityTimeout = 250 * time.Millisecond
 	// notifyTimeout bounds the delivery of a notification to all peers.
@@ -67,6 +65,10 @@
 )
 
 func (n *Node) newMesh() *rosepeer.Mesh {
+	piece := n.sendPiece
+	if n.config.Omit.Pieces {
+		piece = nil
+	}
 	return rosepeer.NewMesh(rosepeer.Config{
 		Node: rosepeer.NodeConfig{
 			Self: n.config.Self,
@@ -83,6 +85,8 @@
 		// connections or tunnel them.
 		OnCancel:            func(_, _ uint32) {},
 		BundlePart:          n.configurationText,
+		Piece:               piece,
+		OnLatePart:          n.receiveLatePart,
 		OnConnectionRequest: func(rosemary.ProxyID, rosewire.Ask) rosewire.Grant { return rosewire.Grant{} },
 		OnConnectionGrant:   func(rosewire.Grant) {},
 		OnQuestion:          n.answerQuestion,
@@ -159,51 +163,22 @@
 func (n *Node) handlePeerEvent(event rosepeer.Event) {
 	switch {
 	case event.BundleVersion > 0:
-		n.fetchFromPeer(event.From, int64(event.BundleVersion))
+		n.nameVersion(event.From, int64(event.BundleVersion))
 	case event.Member.Proxy != "":
 		klog.InfoS("peer changed", "peer", event.Member.Proxy, "zone", event.Member.Zone, "state", event.State.String())
 	}
 }
 
-// fetchFromPeer fetches a configuration from a peer unless it arrives from the
-// store first.
-func (n *Node) fetchFromPeer(from rosemary.ProxyID, version int64) {
-	n.recordNamed(string(from), version)
-	if !n.fetchingConfiguration.CompareAndSwap(false, true) {
-		return
-	}
-	n.goroutines.Go(func() {
-		defer n.fetchingConfiguration.Store(false)
-		ctx, cancel := context.WithTimeout(n.runContext(), peerFetchTimeout)
-		defer cancel()
-		roseclock.Sleep(ctx, peerFetchDelay)
-		if current := n.configuration.Load(); current != nil && current.Version >= version {
-			return
-		}
-		n.pull(ctx, from, version)
-	})
-}
-
-// pull fetches a configuration from a peer, and reports whether it got one.
-func (n *Node) pull(ctx context.Context, from rosemary.ProxyID, version int64) bool {
-	text, err := n.mesh.FetchPart(ctx, from, "")
-	if err != nil {
-		klog.InfoS("configuration not pulled", "from", from, "version", version, "err", roselog.ErrorMessage(err))
-		return false
-	}
-	return n.applyText(text, string(from))
-}
-
 // applyText puts a configuration that another proxy has passed on into force, and reports
 // whether it is well formed.
-func (n *Node) applyText(text, from string) bool {
+func (n *Node) applyText(text, from string, origin rosemary.Origin) bool {
 	configuration, err := n.config.Configurations.Parse(text)
 	if err != nil {
 		klog.ErrorS(nil, "configuration refused", "from", from, "err", roselog.ErrorMessage(err))
 		return false
 	}
 	klog.InfoS("configuration pulled", "from", from, "version", configuration.Version)
-	n.apply(configuration, sourcePull)
+	n.apply(configuration.WithOrigin(origin), sourcePull)
 	return true
 }
 
--- a/internal/rosenode/readers.go
+++ b/internal/rosenode/readers.go
@@ -40,6 +40,8 @@
 	asked []rosemary.ProxyID
 	// root is set if this proxy reads for the others.
 	root bool
+	// reader is set if the others of a zone rely on this proxy, which asks the root.
+	reader bool
 }
 
 // newReading returns the reading of a proxy among members. It counts itself as one of them in
@@ -67,9 +69,9 @@
 	readers, rest := zone[:count], zone[count:]
 	switch {
 	case isHome(self.Proxy, readers):
-		return reading{asked: otherProxies(self, roots[:min(2, len(roots))])}
+		return reading{asked: otherProxies(self, roots[:min(2, len(roots))]), reader: true}
 	case len(rest) > 0 && rest[0].Proxy == self.Proxy:
-		return reading{asked: otherProxies(self, []rosemary.Member{readers[0], roots[0]})}
+		return reading{asked: otherProxies(self, []rosemary.Member{readers[0], roots[0]}), reader: true}
 	}
 	preferred := rosepeer.RendezvousOrder("ask/"+string(self.Proxy), readers)[0]
 	return reading{asked: otherProxies(self, []rosemary.Member{preferred, rest[0]})}
@@ -95,6 +97,12 @@
 	return d.reading.asked
 }
 
+// readsForZone reports whether the others of this zone rely on what this proxy hears of the store.
+func (n *Node) readsForZone() bool {
+	d := n.directory.Load()
+	return d != nil && d.reading.reader
+}
+
 // readsForOthers reports whether this proxy reads the store for the others.
 func (n *Node) readsForOthers() bool {
 	d := n.directory.Load()
@@ -170,7 +178,7 @@
 func (n *Node) hearConfiguration(reader rosemary.ProxyID, version int64, confirmedAt time.Time) {
 	switch current := n.configuration.Load(); {
 	case current == nil || version > current.Version:
-		n.fetchFromPeer(reader, version)
+		n.nameVersion(reader, version)
 	case version == current.Version:
 		n.confirmConfiguration(confirmedAt)
 	}
--- a/pkg/roseclock/idle.go
+++ b/pkg/roseclock/idle.go
@@ -38,6 +38,15 @@
 	return ok
 }
 
+// WithProgress returns a context in which Progress calls a function too.
+func WithProgress(ctx context.Context, called func()) context.Context {
+	outer := ctx
+	return context.WithValue(ctx, progressKey{}, func() {
+		Progress(outer)
+		called()
+	})
+}
+
 // ProgressReader returns a reader of the same bytes that calls Progress for what it has read.
 func ProgressReader(ctx context.Context, reader io.Reader) io.Reader {
 	return progressReader{ctx, reader}
@@ -48,9 +57,12 @@
 	reader io.Reader
 }
 
+// maxProgressBytes bounds one read. Some readers return only once the buffer is full.
+const maxProgressBytes = 4 << 10
+
 // Read reads from the underlying reader.
 func (r progressReader) Read(buffer []byte) (int, error) {
-	size, err := r.reader.Read(buffer)
+	size, err := r.reader.Read(buffer[:min(len(buffer), maxProgressBytes)])
 	if size > 0 {
 		Progress(r.ctx)
 	}
--- a/pkg/rosedecision/news.go
+++ b/pkg/rosedecision/news.go
@@ -20,6 +20,9 @@
 	// MaxAge is the age of news from another proxy from which on a proxy reads the store
 	// itself.
 	MaxAge time.Duration
+	// ReaderMaxAge is that age for a proxy that the others of its zone rely on, so that it has
+	// read before theirs is too old.
+	ReaderMaxAge time.Duration
 }
 
 // Shares of the bound. A proxy that reads for itself notices a change within Wait, WatchMargin
@@ -31,6 +34,7 @@
 	watchMarginShare = 1. / 6
 	readTimeoutShare = 1. / 8
 	maxAgeShare      = 0.65
+	readerAgeShare   = 0.45
 )
 
 // NewNewsBudget returns the budget for a bound; shared tells that other proxies rely on what
@@ -44,7 +48,7 @@
 	if shared {
 		wait = share(sharedWaitShare)
 	}
-	return NewsBudget{Wait: wait, WatchMargin: share(watchMarginShare), ReadTimeout: share(readTimeoutShare), MaxAge: share(maxAgeShare)}
+	return NewsBudget{Wait: wait, WatchMargin: share(watchMarginShare), ReadTimeout: share(readTimeoutShare), MaxAge: share(maxAgeShare), ReaderMaxAge: share(readerAgeShare)}
 }
 
 // ReadTimeoutAfter returns the timeout of a read after a number of calls in a row that failed.
--- a/pkg/rosepeer/link.go
+++ b/pkg/rosepeer/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +20,10 @@
 	conn   *websocket.Conn
 	queue  chan []byte
 	cancel context.CancelFunc
+	// sendsPieces is set if the peer answers a Pull with a Piece.
+	sendsPieces bool
+	// receivedAt is when the last message arrived, in nanoseconds of the Unix time.
+	receivedAt atomic.Int64
 }
 
 func (m *Mesh) dial(ctx context.Context, member rosemary.Member) {
@@ -70,6 +76,10 @@
 	m.mu.Lock()
 	hello := m.node.Hello()
 	m.mu.Unlock()
+	if m.config.Piece != nil {
+		sendsPieces := true
+		hello.Hello.SendsPieces = &sendsPieces
+	}
 	if writeMessage(ctx, conn, hello) != nil {
 		return
 	}
@@ -78,10 +88,12 @@
 		return
 	}
 	l := &link{peer: rosemary.ProxyID(first.Hello.Proxy), conn: conn, queue: make(chan []byte, sendQueueLength), cancel: cancel}
+	l.sendsPieces = first.Hello.SendsPieces != nil && *first.Hello.SendsPieces
 	if !m.addLink(l) {
 		return
 	}
 	defer m.removeLink(l)
+	l.receivedAt.Store(time.Now().UnixNano())
 	m.tasks.Go(func() { l.writeLoop(ctx) })
 	m.receive(l.peer, first)
 	m.mu.Lock()
@@ -92,6 +104,7 @@
 		if err != nil {
 			return
 		}
+		l.receivedAt.Store(time.Now().UnixNano())
 		m.receive(l.peer, message)
 	}
 }
--- a/pkg/rosepeer/mesh.go
+++ b/pkg/rosepeer/mesh.go
@@ -32,6 +32,8 @@
 	// sendQueueLength is the number of messages that may wait on one link; a
 	// link that falls further behind is closed and reopened.
 	sendQueueLength = 512
+	// silentHeartbeats is the number of heartbeat intervals after which one is overdue on a link.
+	silentHeartbeats = 2
 	// maxFirstSentMs bounds the random start of SentMs, which mustn't overflow.
 	maxFirstSentMs = 1 << 62
 	// maxMessageBytes is the largest message accepted from a peer.
@@ -55,6 +57,10 @@
 	// BundlePart returns the bundle part with that digest, or the manifest in
 	// force for an empty digest.
 	BundlePart func(digest string) (string, bool)
+	// Piece returns a piece of the configuration for a peer; nil if it isn't sent in pieces.
+	Piece func(from rosemary.ProxyID, request rosewire.PieceRequest) rosewire.Piece
+	// OnLatePart receives a bundle part that nobody waits for any more. It may be nil.
+	OnLatePart func(from rosemary.ProxyID, content rosewire.Content)
 	// OnConnectionRequest answers a peer's request for additional connections
 	// to a target.
 	OnConnectionRequest func(from rosemary.ProxyID, ask rosewire.Ask) rosewire.Grant
@@ -95,8 +101,8 @@
 	// dialedAt is when a neighbour without a link was last dialed, or was left to dial
 	// this proxy.
 	dialedAt map[rosemary.ProxyID]time.Time
-	// fetches holds the callers of FetchPart that wait for a part.
-	fetches map[fetchKey][]chan string
+	// fetches holds the callers of FetchPart and FetchPiece that wait for a part.
+	fetches map[fetchKey][]chan rosewire.Content
 	// queries holds the reply channels of open queries by number.
 	queries   map[uint64]chan<- PeerReply
 	lastQuery uint64
@@ -142,7 +148,7 @@
 		node:     NewNode(config.Node),
 		links:    make(map[rosemary.ProxyID]*link),
 		dialedAt: make(map[rosemary.ProxyID]time.Time),
-		fetches:  make(map[fetchKey][]chan string),
+		fetches:  make(map[fetchKey][]chan rosewire.Content),
 		queries:  make(map[uint64]chan<- PeerReply),
 
 		firstSentMs: rand.Uint64N(maxFirstSentMs),
@@ -252,6 +258,8 @@
 	switch {
 	case message.Cancel != nil:
 		m.config.OnCancel(uint32(message.Cancel.ProcessID), uint32(message.Cancel.Secret))
+	case message.Pull != nil && message.Pull.Piece != nil && m.config.Piece != nil:
+		m.sendPiece(from, *message.Pull)
 	case message.Pull != nil:
 		body, _ := m.config.BundlePart(message.Pull.Digest)
 		m.sendTo(from, rosewire.Message{Content: &rosewire.Content{Digest: message.Pull.Digest, Body: body}})
@@ -303,45 +311,99 @@
 	m.sendTo(to, rosewire.Message{Ask: &ask})
 }
 
+// sendPiece sends a piece of the configuration in the background, as the text may have to be
+// compressed first.
+func (m *Mesh) sendPiece(to rosemary.ProxyID, pull rosewire.Pull) {
+	m.tasks.Go(func() {
+		piece := m.config.Piece(to, *pull.Piece)
+		m.sendTo(to, rosewire.Message{Content: &rosewire.Content{Digest: pull.Digest, Piece: &piece}})
+	})
+}
+
 func (m *Mesh) completeFetch(from rosemary.ProxyID, content rosewire.Content) {
 	key := fetchKey{from, content.Digest}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	waiters := m.fetches[key]
+	delete(m.fetches, key)
+	if len(waiters) == 0 {
+		m.sent.UnusedBytes += uint64(contentBytes(content))
+	}
+	m.mu.Unlock()
 	if len(waiters) == 0 {
-		m.sent.UnusedBytes += uint64(len(content.Body))
-		klog.InfoS("bundle part arrived too late", "from", from, "bytes", len(content.Body))
+		klog.InfoS("bundle part arrived too late", "from", from, "bytes", contentBytes(content))
+		if m.config.OnLatePart != nil {
+			m.config.OnLatePart(from, content)
+		}
 	}
 	for _, waiter := range waiters {
-		waiter <- content.Body
+		waiter <- content
 	}
-	delete(m.fetches, key)
+}
+
+func contentBytes(content rosewire.Content) int {
+	if content.Piece != nil {
+		return len(content.Piece.Data)
+	}
+	return len(content.Body)
 }
 
 // FetchPart fetches a part of a peer's bundle. Errors are trace.NotFound when
 // the peer lacks the part, and trace.ConnectionProblem.
 func (m *Mesh) FetchPart(ctx context.Context, from rosemary.ProxyID, digest string) (string, error) {
-	result := make(chan string, 1)
-	key := fetchKey{from, digest}
+	content, err := m.fetch(ctx, from, rosewire.Pull{Digest: digest})
+	if err == nil && content.Body == "" {
+		return "", trace.NotFound("peer %s has no bundle part %q", from, digest)
+	}
+	return content.Body, err
+}
+
+// LinkedPeer is a peer that this proxy has a link to.
+type LinkedPeer struct {
+	rosemary.Member
+	// SendsPieces is set if the peer sends its configuration in pieces.
+	SendsPieces bool
+	// Silent is set if a heartbeat of the peer is overdue on the link.
+	Silent bool
+}
+
+// Linked returns a peer, and whether this proxy has a link to it.
+func (m *Mesh) Linked(id rosemary.ProxyID) (LinkedPeer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[id]
+	if l == nil {
+		return LinkedPeer{}, false
+	}
+	member, _ := m.node.Find(id)
+	silence := time.Since(time.Unix(0, l.receivedAt.Load()))
+	return LinkedPeer{Member: member, SendsPieces: l.sendsPieces, Silent: silence > silentHeartbeats*m.node.heartbeatInterval()}, true
+}
+
+// FetchPiece fetches a piece of a peer's configuration. A peer that sends none answers with all of
+// its text. The error is a trace.ConnectionProblem.
+func (m *Mesh) FetchPiece(ctx context.Context, from rosemary.ProxyID, request rosewire.PieceRequest) (rosewire.Content, error) {
+	return m.fetch(ctx, from, rosewire.Pull{Piece: &request})
+}
+
+func (m *Mesh) fetch(ctx context.Context, from rosemary.ProxyID, pull rosewire.Pull) (rosewire.Content, error) {
+	result := make(chan rosewire.Content, 1)
+	key := fetchKey{from, pull.Digest}
 	m.mu.Lock()
 	if m.links[from] == nil {
 		m.mu.Unlock()
-		return "", trace.ConnectionProblem(nil, "no link to peer %s", from)
+		return rosewire.Content{}, trace.ConnectionProblem(nil, "no link to peer %s", from)
 	}
 	m.fetches[key] = append(m.fetches[key], result)
-	m.send(Envelope{from, rosewire.Message{Pull: &rosewire.Pull{Digest: digest}}})
+	m.send(Envelope{from, rosewire.Message{Pull: &pull}})
 	m.mu.Unlock()
 	select {
-	case body := <-result:
-		if body == "" {
-			return "", trace.NotFound("peer %s has no bundle part %q", from, digest)
-		}
-		return body, nil
+	case content := <-result:
+		return content, nil
 	case <-ctx.Done():
 		m.mu.Lock()
 		delete(m.fetches, key)
 		m.mu.Unlock()
-		return "", trace.ConnectionProblem(ctx.Err(), "peer %s did not answer the request for a bundle part", from)
+		return rosewire.Content{}, trace.ConnectionProblem(ctx.Err(), "peer %s did not answer the request for a bundle part", from)
 	}
 }
 
--- /dev/null
+++ b/pkg/rosetransfer/sources.go
@@ -0,0 +1,96 @@
+package rosetransfer
+
+import (
+	"time"
+
+	"github.com/rosemarywell/rosemarywell/pkg/rosemary"
+)
+
+const (
+	// busyTime is how long a source that was busy isn't asked again.
+	busyTime = 80 * time.Millisecond
+	// failedTime is how long a source that didn't answer isn't.
+	failedTime = time.Second
+)
+
+// Sources are the proxies that have named a version. It isn't safe for concurrent use.
+type Sources struct {
+	known map[rosemary.ProxyID]source
+}
+
+type source struct {
+	version int64
+	// notBefore is when it may be asked again.
+	notBefore time.Time
+}
+
+// NewSources returns no sources.
+func NewSources() *Sources { return &Sources{known: make(map[rosemary.ProxyID]source)} }
+
+// Add records that a proxy has named a version.
+func (s *Sources) Add(id rosemary.ProxyID, version int64) {
+	known := s.known[id]
+	known.version = max(known.version, version)
+	s.known[id] = known
+}
+
+// Newest returns the newest version that a source has named, zero if none has.
+func (s *Sources) Newest() int64 {
+	newest := int64(0)
+	for _, known := range s.known {
+		newest = max(newest, known.version)
+	}
+	return newest
+}
+
+// Next returns the source to ask for a version: of those that may be asked now one of the highest
+// rank. If none may be asked yet, it returns how long to wait; zero if none is known.
+func (s *Sources) Next(now time.Time, version int64, rank func(rosemary.ProxyID) int) (id rosemary.ProxyID, wait time.Duration) {
+	best := 0
+	// Maps are iterated in random order, which spreads the proxies over the sources.
+	for candidate, known := range s.known {
+		if known.version < version {
+			continue
+		}
+		if left := known.notBefore.Sub(now); left > 0 {
+			if wait == 0 || left < wait {
+				wait = left
+			}
+			continue
+		}
+		if r := rank(candidate); id == "" || r > best {
+			id, best = candidate, r
+		}
+	}
+	if id != "" {
+		return id, 0
+	}
+	return "", wait
+}
+
+// RecordBusy records that a source sends to others.
+func (s *Sources) RecordBusy(now time.Time, id rosemary.ProxyID) { s.delay(id, now.Add(busyTime)) }
+
+// RecordFailure records that a source didn't answer.
+func (s *Sources) RecordFailure(now time.Time, id rosemary.ProxyID) {
+	s.delay(id, now.Add(failedTime))
+}
+
+func (s *Sources) delay(id rosemary.ProxyID, until time.Time) {
+	if known, found := s.known[id]; found {
+		known.notBefore = until
+		s.known[id] = known
+	}
+}
+
+// Remove forgets a source: it has no link, or not the version.
+func (s *Sources) Remove(id rosemary.ProxyID) { delete(s.known, id) }
+
+// Forget forgets the sources of versions that aren't newer than one.
+func (s *Sources) Forget(version int64) {
+	for id, known := range s.known {
+		if known.version <= version {
+			delete(s.known, id)
+		}
+	}
+}
--- a/pkg/rosewire/wire.go
+++ b/pkg/rosewire/wire.go
@@ -46,6 +46,9 @@
 
 	// Digest is the digest in the Pull.
 	Digest string `cbor:"Digest"`
+
+	// Piece answers a Pull with a Piece.
+	Piece *Piece `cbor:"Piece,omitempty"`
 }
 
 // Fact is the latest target status that the sender has sampled.
@@ -135,6 +138,10 @@
 	// Proxy identifies the sender.
 	Proxy string `cbor:"Proxy"`
 
+	// SendsPieces is set if the sender answers a Pull with a Piece; absent if it
+	// sends whole parts only.
+	SendsPieces *bool `cbor:"SendsPieces,omitempty"`
+
 	// Zone is the sender's availability zone.
 	Zone string `cbor:"Zone"`
 }
@@ -247,11 +254,58 @@
 	Transaction *uint64 `cbor:"Transaction,omitempty"`
 }
 
+// Piece is a piece of a compressed configuration.
+type Piece struct {
+	// Busy is set if the sender sends to as many others as it can now; there is no
+	// data then.
+	Busy bool `cbor:"Busy"`
+
+	// Checksum is that of the whole compressed text.
+	Checksum uint64 `cbor:"Checksum"`
+
+	// Data is the piece; empty if the version is older than the one requested.
+	Data []uint8 `cbor:"Data"`
+
+	// Epoch is the epoch of the store to which Revision belongs.
+	Epoch *uint64 `cbor:"Epoch,omitempty"`
+
+	// Offset is the position of Data in it.
+	Offset uint64 `cbor:"Offset"`
+
+	// Revision is the revision of the configuration in the store; absent if the
+	// sender doesn't know it.
+	Revision *uint64 `cbor:"Revision,omitempty"`
+
+	// Size is the number of bytes of the whole compressed text.
+	Size uint64 `cbor:"Size"`
+
+	// Version is the version in force at the sender.
+	Version uint64 `cbor:"Version"`
+}
+
+// PieceRequest names a piece of a compressed configuration.
+type PieceRequest struct {
+	// Checksum is that of the compressed text of which the sender has the beginning;
+	// zero if it has none.
+	Checksum uint64 `cbor:"Checksum"`
+
+	// Offset is the number of bytes that it has. If the receiver has another text, it
+	// sends the first piece of that one.
+	Offset uint64 `cbor:"Offset"`
+
+	// Version is the least version that is of use to the sender.
+	Version uint64 `cbor:"Version"`
+}
+
 // Pull requests a part of the bundle by its digest, the current manifest, or the
 // platform's configuration.
 type Pull struct {
 	// Digest is the digest of the part; empty for the manifest or the configuration.
 	Digest string `cbor:"Digest"`
+
+	// Piece is set if the sender wants the configuration in pieces. A build that
+	// doesn't know it answers with all of it.
+	Piece *PieceRequest `cbor:"Piece,omitempty"`
 }
 
 // Question asks a peer about a group.
