rosetransfer: fetch an older version while the newest one's source is silent

Found by reading: a proxy fetched only the newest version that was named. If the one proxy that had named it fell silent before it sent the text, it was asked again each second, and a version before, newer than the one in force, wasn't fetched from all the others that had it, as long as the silent link was open (15 s). Callers would have been answered by an older version.

A source that didn't answer no longer keeps those of an older version from being asked; one that is busy does, as it sends within a tenth of a second.

--- a/internal/rosenode/transfer.go
+++ b/internal/rosenode/transfer.go
@@ -113,13 +113,13 @@
 	for ctx.Err() == nil {
 		from, version, wait := n.nextSource()
 		switch {
-		case version == 0:
+		case from == "" && wait == 0:
 			if n.isNewerNamed() {
 				wake(n.transfer.readNow)
 			}
 			return
 		case from == "":
-			roseclock.Sleep(ctx, max(wait, time.Millisecond))
+			roseclock.Sleep(ctx, wait)
 		case n.sendsWholeText(from) && n.transfer.fromStore.underway() && time.Since(startedAt) < storePatience:
 			roseclock.Sleep(ctx, arrivalCheckInterval)
 		case n.fetchFrom(ctx, from, version):
@@ -140,8 +140,8 @@
 	return linked && !peer.SendsPieces
 }
 
-// nextSource returns the proxy to fetch the newest named version from, or how long to wait for one.
-// The version is zero if none is named that is newer than the one in force.
+// nextSource returns the proxy to fetch a newer version from, or how long to wait for one; neither
+// if none is named.
 func (n *Node) nextSource() (from rosemary.ProxyID, version int64, wait time.Duration) {
 	current := int64(0)
 	if configuration := n.configuration.Load(); configuration != nil {
@@ -150,9 +150,7 @@
 	n.transfer.mu.Lock()
 	defer n.transfer.mu.Unlock()
 	n.transfer.sources.Forget(current)
-	version = n.transfer.sources.Newest()
-	from, wait = n.transfer.sources.Next(time.Now(), version, n.rankSource)
-	return from, version, wait
+	return n.transfer.sources.Next(time.Now(), current, n.rankSource)
 }
 
 // rankSource ranks the proxies that have a version: those on whose link something arrives, then
--- a/pkg/rosetransfer/sources.go
+++ b/pkg/rosetransfer/sources.go
@@ -20,8 +20,9 @@
 
 type source struct {
 	version int64
-	// notBefore is when it may be asked again.
+	// notBefore is when it may be asked again, and failed is set if it didn't answer.
 	notBefore time.Time
+	failed    bool
 }
 
 // NewSources returns no sources.
@@ -34,51 +35,49 @@
 	s.known[id] = known
 }
 
-// Newest returns the newest version that a source has named, zero if none has.
-func (s *Sources) Newest() int64 {
-	newest := int64(0)
-	for _, known := range s.known {
-		newest = max(newest, known.version)
-	}
-	return newest
-}
-
-// Next returns the source to ask for a version: of those that may be asked now one of the highest
-// rank. If none may be asked yet, it returns how long to wait; zero if none is known.
-func (s *Sources) Next(now time.Time, version int64, rank func(rosemary.ProxyID) int) (id rosemary.ProxyID, wait time.Duration) {
-	best := 0
+// Next returns the source to ask for a version newer than one: of those that may be asked now one
+// of the newest version, and of these one of the highest rank. An older version is better than to
+// wait for a source that is silent, but not than to wait for one that is busy. If none may be asked
+// yet, it returns how long to wait; zero if no source has a newer version.
+func (s *Sources) Next(now time.Time, current int64, rank func(rosemary.ProxyID) int) (id rosemary.ProxyID, version int64, wait time.Duration) {
+	best, busy := 0, int64(0)
 	// Maps are iterated in random order, which spreads the proxies over the sources.
 	for candidate, known := range s.known {
-		if known.version < version {
+		if known.version <= current {
 			continue
 		}
 		if left := known.notBefore.Sub(now); left > 0 {
 			if wait == 0 || left < wait {
 				wait = left
 			}
+			if !known.failed {
+				busy = max(busy, known.version)
+			}
 			continue
 		}
-		if r := rank(candidate); id == "" || r > best {
-			id, best = candidate, r
+		if r := rank(candidate); known.version > version || known.version == version && r > best {
+			id, version, best = candidate, known.version, r
 		}
 	}
-	if id != "" {
-		return id, 0
+	if id != "" && version >= busy {
+		return id, version, 0
 	}
-	return "", wait
+	return "", 0, wait
 }
 
 // RecordBusy records that a source sends to others.
-func (s *Sources) RecordBusy(now time.Time, id rosemary.ProxyID) { s.delay(id, now.Add(busyTime)) }
+func (s *Sources) RecordBusy(now time.Time, id rosemary.ProxyID) {
+	s.delay(id, now.Add(busyTime), false)
+}
 
 // RecordFailure records that a source didn't answer.
 func (s *Sources) RecordFailure(now time.Time, id rosemary.ProxyID) {
-	s.delay(id, now.Add(failedTime))
+	s.delay(id, now.Add(failedTime), true)
 }
 
-func (s *Sources) delay(id rosemary.ProxyID, until time.Time) {
+func (s *Sources) delay(id rosemary.ProxyID, until time.Time, failed bool) {
 	if known, found := s.known[id]; found {
-		known.notBefore = until
+		known.notBefore, known.failed = until, failed
 		s.known[id] = known
 	}
 }
