--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -249,3 +249,43 @@
 	d.group.mu.Unlock()
 	return d.finish("LOST", counted)
 }
+
+// The sizes of the case of a process that is told of new settings as it starts.
+const (
+	hangupMachines = 2
+	hangupStarts   = 3
+	// hangupAfter is the time from the start of a process to its SIGHUP.
+	hangupAfter = time.Millisecond
+	// startTime is how long a process is watched after its start.
+	startTime = 3 * time.Second
+)
+
+// playHangup restarts two of six machines three times each, and has their settings files changed
+// as they start.
+func playHangup(r *record, folder string, trouble bool) int {
+	d := newDeployment(r, folder, 0)
+	if !d.startAll() {
+		return exitNoRun
+	}
+	broken := 0
+	for _, name := range d.names[:hangupMachines] {
+		ends := 0
+		for range hangupStarts {
+			if !d.proxies[name].survivesRestart(r, trouble) {
+				ends++
+			}
+		}
+		if ends == hangupStarts {
+			broken++
+		}
+		d.proxies[name].start(false)
+	}
+	d.stop()
+	d.tasks.Wait()
+	r.write("verdict", "machinesWhoseProcessesEndedThreeTimes", broken)
+	fmt.Printf("processes ended by themselves three times on %d of %d machines\n", broken, len(d.names))
+	if broken >= hangupMachines {
+		return exitBroken
+	}
+	return exitHeld
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -171,7 +171,7 @@
 }
 
 func main() {
-	name := flag.String("case", "", "case to play: unlisted or synchronous")
+	name := flag.String("case", "", "case to play: unlisted, synchronous or hangup")
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
 	folder, err := os.MkdirTemp("", "review-3-")
@@ -187,6 +187,8 @@
 			result <- playUnlisted(r, folder, trouble)
 		case "synchronous":
 			result <- playSynchronous(r, folder, trouble)
+		case "hangup":
+			result <- playHangup(r, folder, trouble)
 		default:
 			result <- exitNoRun
 		}
--- a/review/standin-3/process.go
+++ b/review/standin-3/process.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // proxy is one process under test.
@@ -132,3 +133,29 @@
 	}
 	return ""
 }
+
+// survivesRestart stops the process in the planned way, starts it again, and sends it SIGHUP at
+// once if there is to be trouble. It reports whether the process runs on; if so, it is stopped.
+func (p *proxy) survivesRestart(r *record, trouble bool) bool {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	_ = p.command.Wait()
+	p.start(false)
+	r.write("started", "proxy", p.name, "pid", p.pid())
+	if trouble {
+		time.Sleep(hangupAfter)
+		r.write("settings changed, SIGHUP", "proxy", p.name)
+		_ = p.command.Process.Signal(syscall.SIGHUP)
+	}
+	ended := make(chan error, 1)
+	command := p.command
+	go func() { ended <- command.Wait() }()
+	select {
+	case err := <-ended:
+		r.write("process ended by itself", "proxy", p.name, "err", err)
+		return false
+	case <-time.After(startTime):
+	}
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	<-ended
+	return true
+}
